--- /dev/null
+++ b/include/rhubarbrun/protocol/execute_messages.hpp
@@ -0,0 +1,182 @@
+#ifndef RHUBARBRUN_PROTOCOL_EXECUTE_MESSAGES_HPP
+#define RHUBARBRUN_PROTOCOL_EXECUTE_MESSAGES_HPP
+
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/log_position.hpp>
+#include <rhubarbrun/state/request_error.hpp>
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Priority class of a request, in the order in which it is served.
+enum class work_class : std::uint8_t
+{
+    /// Writes and statements of transactions that may write.
+    order_entry,
+    /// Short reads.
+    lookup,
+    /// Long reads.
+    report,
+};
+
+/// How the owner sends a statement to the target.
+enum class statement_form : std::uint8_t
+{
+    /// Simple query; may hold several statements.
+    simple,
+    /// Extended query with parameters.
+    parameterized,
+    /// Parse and Describe of a statement, without running it.
+    describe,
+};
+
+/// A statement as the target connection sends it.
+struct statement
+{
+    statement_form form = statement_form::simple;
+    std::string text;
+    std::vector<std::uint32_t> parameter_types;
+    /// One per parameter; no value stands for NULL.
+    std::vector<std::optional<std::string>> parameters;
+    /// 0 for text, 1 for binary; one per parameter.
+    std::vector<std::int16_t> parameter_formats;
+    /// 0 for text, 1 for binary; for all result columns.
+    std::int16_t result_format = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(form, text, parameter_types, parameters, parameter_formats,
+                result_format);
+    }
+};
+
+/// What a statement does to the transaction of its session.
+enum class transaction_step : std::uint8_t
+{
+    /// Runs on its own, outside a transaction.
+    single,
+    /// BEGIN: takes a connection until the transaction ends.
+    begin,
+    /// Runs within the transaction.
+    within,
+    /// COMMIT or ROLLBACK.
+    end,
+};
+
+/// Entry proxy to owner: run this statement at the target.
+struct execute_request
+{
+    request_id id;
+    session_id session;
+    target_id target;
+    /// Epoch under which the entry believes the target is owned; the owner
+    /// refuses any other.
+    owner_epoch epoch;
+    /// Term of the group as the entry knows it.
+    term group_term;
+    statement body;
+    transaction_step step = transaction_step::single;
+    work_class priority = work_class::order_entry;
+    bool is_read_only = false;
+    bool is_idempotent = false;
+    request_key key;
+    /// Time left, in microseconds, when the entry sent this message.
+    std::int64_t time_left_us = 0;
+    /// For reads at a replica: the replica must have replayed this position.
+    std::optional<log_position> floor;
+    /// For reads at a replica: accepted age of the data, in microseconds; 0
+    /// means that only `floor` counts.
+    std::int64_t max_age_us = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(id, session, target, epoch, group_term, body, step, priority,
+                is_read_only, is_idempotent, key, time_left_us, floor,
+                max_age_us);
+    }
+};
+
+/// State of the session's transaction at the target, as in ReadyForQuery.
+enum class transaction_status : std::uint8_t
+{
+    idle = 'I',
+    in_transaction = 'T',
+    failed = 'E',
+};
+
+/// Owner to entry proxy: the whole answer to one `execute_request`.
+struct execute_reply
+{
+    request_id id;
+    /// Set if the proxy itself, not the target, ended the request.
+    std::optional<request_error> error;
+    /// Encoded PostgreSQL backend messages, without ReadyForQuery: the rows
+    /// and command tags, or the target's own ErrorResponse.
+    std::string answer;
+    transaction_status status = transaction_status::idle;
+    /// Position that this session's later reads must have seen.
+    std::optional<log_position> position;
+    /// Queued and running statements at the target, for the replica choice.
+    std::uint32_t load = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(id, error, answer, status, position, load);
+    }
+};
+
+/// Entry proxy to owner: the caller cancelled a request, or its session ended.
+struct cancel_request
+{
+    session_id session;
+    /// Request to cancel; 0 ends everything that the session holds.
+    request_id id;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(session, id);
+    }
+};
+
+/// Entry proxy to owner of the primary: what may a new session have seen?
+struct position_query
+{
+    request_id id;
+    group_id group;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(id, group);
+    }
+};
+
+/// Highest acknowledged position of the group, or no value if the asked proxy
+/// does not own the primary.
+struct position_answer
+{
+    request_id id;
+    std::optional<log_position> position;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(id, position);
+    }
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/state/log_position.hpp
@@ -0,0 +1,45 @@
+#ifndef RHUBARBRUN_STATE_LOG_POSITION_HPP
+#define RHUBARBRUN_STATE_LOG_POSITION_HPP
+
+#include <rhubarbrun/state/ids.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rhubarbrun::inline v1 {
+
+/// Byte position in a database server's write-ahead log.
+using log_offset = strong_id<struct log_offset_tag, std::uint64_t>;
+
+/// Position in the history of a database group; a higher term is later.
+struct log_position
+{
+    term group_term;
+    log_offset offset;
+
+    friend auto operator<=>(const log_position&, const log_position&)
+        -> std::strong_ordering = default;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(group_term, offset);
+    }
+};
+
+/// Parses PostgreSQL's text form of a position, such as `16/B374D848`.
+///
+/// Returns no value if the text is not two hexadecimal numbers of at most 32
+/// bits with a slash between them.
+[[nodiscard]] auto parse_log_offset(std::string_view text)
+    -> std::optional<log_offset>;
+
+/// Prints `offset` in PostgreSQL's text form.
+[[nodiscard]] auto to_string(log_offset offset) -> std::string;
+
+} // namespace rhubarbrun::inline v1
+
+#endif
