coordination: replace a failed primary without losing writes

Cause: nothing decided when a primary has failed, which server follows it, or when a write may be acknowledged; units.hpp did not compile under g++ 12.

--- /dev/null
+++ b/include/rhubarbrun/coordination/failover.hpp
@@ -0,0 +1,192 @@
+#ifndef RHUBARBRUN_COORDINATION_FAILOVER_HPP
+#define RHUBARBRUN_COORDINATION_FAILOVER_HPP
+
+#include <rhubarbrun/coordination/write_acknowledger.hpp>
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/log_position.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// What a server says of itself.
+struct server_status
+{
+    bool is_in_recovery = true;
+    /// PostgreSQL timeline; a later one is never behind an earlier one.
+    std::uint32_t timeline = 0;
+    /// Received and flushed position of a replica, log end of a primary.
+    log_offset position;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(is_in_recovery, timeline, position);
+    }
+};
+
+/// Position on a timeline; comparable only between servers that share it.
+struct timeline_position
+{
+    std::uint32_t timeline = 0;
+    log_offset offset;
+};
+
+/// Time limits of a failover.
+struct failover_options
+{
+    /// How long other proxies have to say whether they reach the primary.
+    duration confirmation_limit = std::chrono::milliseconds(300);
+    /// How long to wait for further positions once a safe candidate is known.
+    duration collection_grace = std::chrono::milliseconds(100);
+    /// After how long an unanswered proposal or position query is repeated.
+    duration repeat_interval = std::chrono::milliseconds(250);
+    /// Other proxies that must agree that the primary is unreachable.
+    std::size_t confirmations = 2;
+};
+
+/// The group as the owner of its primary sees it when the primary fails.
+struct failover_group
+{
+    group_id id;
+    term current_term;
+    target_id primary;
+    /// All other servers of the group that are known and not gone.
+    std::vector<target_id> others;
+    acknowledge_policy policy = acknowledge_policy::second_server;
+    /// Highest acknowledged position, if this owner served the whole term.
+    std::optional<timeline_position> highest_acknowledged;
+};
+
+/// Asks `proxies` whether they reach the primary.
+struct ask_confirmation
+{
+    std::vector<proxy_id> proxies;
+};
+
+/// Reads the status of these servers.
+struct read_positions
+{
+    std::vector<target_id> targets;
+};
+
+/// Proposes the next term to control.
+struct propose_candidate
+{
+    term expected_term;
+    target_id candidate;
+};
+
+/// Gives the primary up: another proxy reaches it, so this owner is cut off.
+struct release_primary
+{
+    proxy_id reachable_from;
+};
+
+/// Serves again: the primary answered before a term was proposed.
+struct resume_primary
+{
+};
+
+using failover_action =
+    std::variant<ask_confirmation, read_positions, propose_candidate,
+                 release_primary, resume_primary>;
+
+/// Steps of a failover.
+enum class failover_phase : std::uint8_t
+{
+    watching,
+    confirming,
+    collecting,
+    proposing,
+    finished,
+};
+
+/// Name of a phase for logs and dumps.
+[[nodiscard]] auto to_string(failover_phase phase) noexcept -> std::string_view;
+
+/// Replaces a failed primary; one object per group, at the primary's owner.
+///
+/// The owner is fenced from the moment at which it proposes a term, because
+/// from then on another server may be the primary. It never lifts the fence by
+/// itself: the answer of control does, or the loss of the assignment.
+class failover
+{
+public:
+    failover(failover_group group, failover_options options);
+
+    [[nodiscard]] auto phase() const noexcept -> failover_phase
+    {
+        return phase_;
+    }
+
+    /// Whether the owner may neither send nor acknowledge writes.
+    [[nodiscard]] auto is_fenced() const noexcept -> bool
+    {
+        return phase_ == failover_phase::proposing ||
+               phase_ == failover_phase::finished;
+    }
+
+    /// The failure detector says that the primary has failed.
+    ///
+    /// @param live_proxies Other proxies that control counts as live, nearest
+    ///        first; those in other zones should come first.
+    [[nodiscard]] auto on_suspected(time_point now,
+                                    std::vector<proxy_id> live_proxies)
+        -> std::vector<failover_action>;
+
+    /// The primary answered a probe again.
+    [[nodiscard]] auto on_primary_answered() -> std::vector<failover_action>;
+
+    /// Another proxy answered whether it reaches the primary.
+    [[nodiscard]] auto on_confirmation(time_point now, const proxy_id& proxy,
+                                       bool is_reachable)
+        -> std::vector<failover_action>;
+
+    /// A server of the group answered with its status.
+    [[nodiscard]] auto on_status(time_point now, const target_id& target,
+                                 const server_status& status)
+        -> std::vector<failover_action>;
+
+    /// Control answered a proposal; a refusal means that the term has moved.
+    auto on_proposal_answered(bool is_accepted) -> void;
+
+    /// Handles time limits; call at least every probe interval.
+    [[nodiscard]] auto tick(time_point now) -> std::vector<failover_action>;
+
+    /// The most advanced safe candidate among the answers, if one is known.
+    [[nodiscard]] auto candidate() const -> std::optional<target_id>;
+
+private:
+    [[nodiscard]] auto ask_next(time_point now) -> std::vector<failover_action>;
+    [[nodiscard]] auto start_collecting(time_point now)
+        -> std::vector<failover_action>;
+    [[nodiscard]] auto propose(time_point now) -> std::vector<failover_action>;
+    [[nodiscard]] auto is_confirmed() const noexcept -> bool;
+    [[nodiscard]] auto has_enough_positions(const server_status& best) const
+        -> bool;
+    [[nodiscard]] auto missing() const -> std::vector<target_id>;
+
+    failover_group group_;
+    failover_options options_;
+    failover_phase phase_ = failover_phase::watching;
+    time_point phase_since_{};
+    time_point last_action_{};
+    std::vector<proxy_id> live_proxies_;
+    std::size_t asked_ = 0;
+    std::set<proxy_id> unreachable_for_;
+    std::map<target_id, server_status> statuses_;
+    std::optional<time_point> candidate_since_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- a/include/rhubarbrun/state/units.hpp
+++ b/include/rhubarbrun/state/units.hpp
@@ -8,22 +8,22 @@
 
 namespace rhubarbrun::inline v1 {
 
-/// A length of time in whole microseconds.
-using duration = std::chrono::duration<std::int64_t, std::micro>;
-
 /// The clock type of all decision code.
 ///
 /// It has no `now()`: the time is always passed in, so that tests run in
 /// virtual time.
 struct monotonic_clock
 {
-    using rep = duration::rep;
-    using period = duration::period;
-    using duration = rhubarbrun::duration;
-    using time_point = std::chrono::time_point<monotonic_clock, duration>;
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<monotonic_clock>;
     static constexpr bool is_steady = true;
 };
 
+/// A length of time in whole microseconds.
+using duration = monotonic_clock::duration;
+
 /// Microseconds since an arbitrary start that is fixed for one process.
 using time_point = monotonic_clock::time_point;
 
--- /dev/null
+++ b/src/coordination/failover.cpp
@@ -0,0 +1,234 @@
+#include <rhubarbrun/coordination/failover.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+auto rank(const server_status& status) noexcept
+{
+    return std::tuple(status.timeline, status.position);
+}
+
+} // namespace
+
+auto to_string(failover_phase phase) noexcept -> std::string_view
+{
+    switch (phase) {
+    case failover_phase::watching:
+        return "watching";
+    case failover_phase::confirming:
+        return "confirming";
+    case failover_phase::collecting:
+        return "collecting";
+    case failover_phase::proposing:
+        return "proposing";
+    case failover_phase::finished:
+        return "finished";
+    }
+    return "unknown";
+}
+
+failover::failover(failover_group group, failover_options options)
+    : group_(std::move(group)), options_(options)
+{
+}
+
+auto failover::on_suspected(time_point now, std::vector<proxy_id> live_proxies)
+    -> std::vector<failover_action>
+{
+    if (phase_ != failover_phase::watching) {
+        return {};
+    }
+    phase_ = failover_phase::confirming;
+    phase_since_ = now;
+    live_proxies_ = std::move(live_proxies);
+    asked_ = 0;
+    unreachable_for_.clear();
+    if (is_confirmed()) {
+        return start_collecting(now);
+    }
+    return ask_next(now);
+}
+
+auto failover::on_primary_answered() -> std::vector<failover_action>
+{
+    const auto may_resume = phase_ == failover_phase::confirming ||
+                            phase_ == failover_phase::collecting;
+    if (!may_resume) {
+        return {};
+    }
+    phase_ = failover_phase::watching;
+    statuses_.clear();
+    candidate_since_.reset();
+    return {resume_primary{}};
+}
+
+auto failover::on_confirmation(time_point now, const proxy_id& proxy,
+                               bool is_reachable)
+    -> std::vector<failover_action>
+{
+    const auto is_asked = std::find(live_proxies_.begin(), live_proxies_.end(),
+                                    proxy) != live_proxies_.end();
+    if (phase_ != failover_phase::confirming || !is_asked) {
+        return {};
+    }
+    if (is_reachable) {
+        phase_ = failover_phase::watching;
+        return {release_primary{proxy}};
+    }
+    unreachable_for_.insert(proxy);
+    return is_confirmed() ? start_collecting(now)
+                          : std::vector<failover_action>{};
+}
+
+auto failover::on_status(time_point now, const target_id& target,
+                         const server_status& status)
+    -> std::vector<failover_action>
+{
+    const auto is_member = std::find(group_.others.begin(), group_.others.end(),
+                                     target) != group_.others.end();
+    if (phase_ != failover_phase::collecting || !is_member) {
+        return {};
+    }
+    statuses_[target] = status;
+    return tick(now);
+}
+
+auto failover::on_proposal_answered(bool /*is_accepted*/) -> void
+{
+    // Accepted or refused, the group now has a term that this object does not
+    // serve; the directory names its primary.
+    if (phase_ == failover_phase::proposing) {
+        phase_ = failover_phase::finished;
+    }
+}
+
+auto failover::tick(time_point now) -> std::vector<failover_action>
+{
+    const auto is_repeat_due = now - last_action_ >= options_.repeat_interval;
+    switch (phase_) {
+    case failover_phase::confirming:
+        if (now - last_action_ >= options_.confirmation_limit) {
+            return ask_next(now);
+        }
+        return {};
+    case failover_phase::collecting: {
+        if (candidate()) {
+            if (!candidate_since_) {
+                candidate_since_ = now;
+            }
+            const auto is_complete = missing().empty();
+            const auto has_waited =
+                now - *candidate_since_ >= options_.collection_grace;
+            if (is_complete || has_waited) {
+                return propose(now);
+            }
+        }
+        if (is_repeat_due) {
+            last_action_ = now;
+            return {read_positions{missing()}};
+        }
+        return {};
+    }
+    case failover_phase::proposing:
+        return is_repeat_due ? propose(now) : std::vector<failover_action>{};
+    case failover_phase::watching:
+    case failover_phase::finished:
+        return {};
+    }
+    return {};
+}
+
+auto failover::candidate() const -> std::optional<target_id>
+{
+    auto best = statuses_.end();
+    for (auto entry = statuses_.begin(); entry != statuses_.end(); ++entry) {
+        if (!entry->second.is_in_recovery) {
+            continue;
+        }
+        if (best == statuses_.end() || rank(best->second) < rank(entry->second))
+        {
+            best = entry;
+        }
+    }
+    if (best == statuses_.end() || !has_enough_positions(best->second)) {
+        return std::nullopt;
+    }
+    return best->first;
+}
+
+auto failover::ask_next(time_point now) -> std::vector<failover_action>
+{
+    if (live_proxies_.empty()) {
+        return start_collecting(now);
+    }
+    last_action_ = now;
+    auto batch = std::vector<proxy_id>{};
+    // One proxy more than needed, as one of them may have failed as well.
+    const auto wanted =
+        std::min(options_.confirmations + 1, live_proxies_.size());
+    while (batch.size() < wanted) {
+        batch.push_back(live_proxies_[asked_ % live_proxies_.size()]);
+        ++asked_;
+    }
+    return {ask_confirmation{std::move(batch)}};
+}
+
+auto failover::start_collecting(time_point now) -> std::vector<failover_action>
+{
+    phase_ = failover_phase::collecting;
+    phase_since_ = now;
+    last_action_ = now;
+    statuses_.clear();
+    candidate_since_.reset();
+    return {read_positions{group_.others}};
+}
+
+auto failover::propose(time_point now) -> std::vector<failover_action>
+{
+    const auto chosen = candidate();
+    if (!chosen) {
+        return {};
+    }
+    phase_ = failover_phase::proposing;
+    last_action_ = now;
+    return {propose_candidate{group_.current_term, *chosen}};
+}
+
+auto failover::is_confirmed() const noexcept -> bool
+{
+    const auto wanted = std::min(options_.confirmations, live_proxies_.size());
+    return unreachable_for_.size() >= wanted;
+}
+
+auto failover::has_enough_positions(const server_status& best) const -> bool
+{
+    if (group_.policy == acknowledge_policy::primary) {
+        return true;
+    }
+    const auto& floor = group_.highest_acknowledged;
+    if (floor && best.timeline == floor->timeline &&
+        best.position >= floor->offset) {
+        return true;
+    }
+    // Each acknowledged write is on the primary and on one other server, so
+    // only the answers of all others are certain to include it.
+    return missing().empty();
+}
+
+auto failover::missing() const -> std::vector<target_id>
+{
+    auto targets = std::vector<target_id>{};
+    for (const auto& target : group_.others) {
+        if (!statuses_.contains(target)) {
+            targets.push_back(target);
+        }
+    }
+    return targets;
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/tests/coordination/failover_test.cpp
@@ -0,0 +1,180 @@
+#include <rhubarbrun/coordination/failover.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbrun;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto start = time_point(10s);
+const auto first_peer = proxy_id("p2");
+const auto second_peer = proxy_id("p3");
+const auto third_peer = proxy_id("p4");
+const auto replica_b = target_id("b");
+const auto replica_c = target_id("c");
+
+auto group(std::optional<std::uint64_t> acknowledged = std::nullopt)
+    -> failover_group
+{
+    auto result = failover_group{};
+    result.id = group_id("orders");
+    result.current_term = term(4);
+    result.primary = target_id("a");
+    result.others = {replica_b, replica_c};
+    if (acknowledged) {
+        result.highest_acknowledged =
+            timeline_position{4, log_offset(*acknowledged)};
+    }
+    return result;
+}
+
+auto replica_at(std::uint64_t position, std::uint32_t timeline = 4)
+    -> server_status
+{
+    return {true, timeline, log_offset(position)};
+}
+
+auto confirm(failover& process) -> std::vector<failover_action>
+{
+    static_cast<void>(
+        process.on_suspected(start, {first_peer, second_peer, third_peer}));
+    static_cast<void>(process.on_confirmation(start, first_peer, false));
+    return process.on_confirmation(start, second_peer, false);
+}
+
+template <class Action>
+auto find(const std::vector<failover_action>& actions) -> const Action*
+{
+    for (const auto& action : actions) {
+        if (const auto* found = std::get_if<Action>(&action)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("one unreachable opinion does not replace a primary")
+{
+    auto process = failover(group(), {});
+    const auto asked =
+        process.on_suspected(start, {first_peer, second_peer, third_peer});
+    REQUIRE(find<ask_confirmation>(asked) != nullptr);
+    CHECK(process.on_confirmation(start, first_peer, false).empty());
+    CHECK(process.on_confirmation(start, first_peer, false).empty());
+    CHECK(process.phase() == failover_phase::confirming);
+}
+
+TEST_CASE("an isolated owner is moved instead of the primary")
+{
+    auto process = failover(group(), {});
+    static_cast<void>(process.on_suspected(start, {first_peer, second_peer}));
+    const auto actions = process.on_confirmation(start, second_peer, true);
+    const auto* release = find<release_primary>(actions);
+    REQUIRE(release != nullptr);
+    CHECK(release->reachable_from == second_peer);
+    CHECK_FALSE(process.is_fenced());
+}
+
+TEST_CASE("silent peers are replaced by others, not taken as agreement")
+{
+    auto process = failover(group(), {});
+    static_cast<void>(process.on_suspected(
+        start, {first_peer, second_peer, third_peer, proxy_id("p5")}));
+    CHECK(process.tick(start + 299ms).empty());
+    const auto again = process.tick(start + 300ms);
+    const auto* asked = find<ask_confirmation>(again);
+    REQUIRE(asked != nullptr);
+    CHECK(asked->proxies.front() == proxy_id("p5"));
+    CHECK(process.phase() == failover_phase::confirming);
+}
+
+TEST_CASE("without the last acknowledged position every replica must answer")
+{
+    auto process = failover(group(), {});
+    REQUIRE(find<read_positions>(confirm(process)) != nullptr);
+    CHECK(process.on_status(start, replica_b, replica_at(900)).empty());
+    CHECK(find<propose_candidate>(process.tick(start + 10s)) == nullptr);
+    CHECK(process.phase() == failover_phase::collecting);
+    const auto actions =
+        process.on_status(start + 11s, replica_c, replica_at(950));
+    const auto* proposal = find<propose_candidate>(actions);
+    REQUIRE(proposal != nullptr);
+    CHECK(proposal->candidate == replica_c);
+    CHECK(proposal->expected_term == term(4));
+    CHECK(process.is_fenced());
+}
+
+TEST_CASE("one replica at the acknowledged position is enough after a grace")
+{
+    auto process = failover(group(900), {});
+    static_cast<void>(confirm(process));
+    CHECK(process.on_status(start, replica_b, replica_at(900)).empty());
+    const auto actions = process.tick(start + 100ms);
+    const auto* proposal = find<propose_candidate>(actions);
+    REQUIRE(proposal != nullptr);
+    CHECK(proposal->candidate == replica_b);
+}
+
+TEST_CASE("a replica that lacks acknowledged writes is not chosen alone")
+{
+    auto process = failover(group(901), {});
+    static_cast<void>(confirm(process));
+    CHECK(process.on_status(start, replica_b, replica_at(900)).empty());
+    CHECK(find<propose_candidate>(process.tick(start + 5s)) == nullptr);
+}
+
+TEST_CASE("a diverged replica with a longer log on an old timeline loses")
+{
+    auto process = failover(group(900), {});
+    static_cast<void>(confirm(process));
+    CHECK(process.on_status(start, replica_b, replica_at(5000, 3)).empty());
+    CHECK_FALSE(process.candidate().has_value());
+    const auto actions = process.on_status(start, replica_c, replica_at(900));
+    const auto* proposal = find<propose_candidate>(actions);
+    REQUIRE(proposal != nullptr);
+    CHECK(proposal->candidate == replica_c);
+}
+
+TEST_CASE("a server that is not in recovery is never a candidate")
+{
+    auto process = failover(group(), {});
+    static_cast<void>(confirm(process));
+    const auto stray = server_status{false, 9, log_offset(9999)};
+    CHECK(process.on_status(start, replica_b, stray).empty());
+    const auto actions = process.on_status(start, replica_c, replica_at(10));
+    const auto* proposal = find<propose_candidate>(actions);
+    REQUIRE(proposal != nullptr);
+    CHECK(proposal->candidate == replica_c);
+}
+
+TEST_CASE("a primary that answers before the proposal keeps its role")
+{
+    auto process = failover(group(), {});
+    static_cast<void>(confirm(process));
+    CHECK(find<resume_primary>(process.on_primary_answered()) != nullptr);
+    CHECK(process.phase() == failover_phase::watching);
+}
+
+TEST_CASE("the fence holds after the proposal whatever the primary answers")
+{
+    auto process = failover(group(900), {});
+    static_cast<void>(confirm(process));
+    static_cast<void>(process.on_status(start, replica_b, replica_at(900)));
+    static_cast<void>(process.on_status(start, replica_c, replica_at(900)));
+    REQUIRE(process.is_fenced());
+    CHECK(process.on_primary_answered().empty());
+    CHECK(process.is_fenced());
+    CHECK(find<propose_candidate>(process.tick(start + 250ms)) != nullptr);
+    process.on_proposal_answered(false);
+    CHECK(process.is_fenced());
+}
+
+TEST_CASE("a proxy that stands alone replaces a failed primary by itself")
+{
+    auto process = failover(group(), {});
+    const auto actions = process.on_suspected(start, {});
+    CHECK(find<read_positions>(actions) != nullptr);
+}
