state, coordination, transport: declare the consensus log

Cause: the control members need a replicated log for all state that must not diverge, and the control daemon is written against its interface.

--- /dev/null
+++ b/include/rhubarbrun/coordination/consensus_options.hpp
@@ -0,0 +1,67 @@
+#ifndef RHUBARBRUN_COORDINATION_CONSENSUS_OPTIONS_HPP
+#define RHUBARBRUN_COORDINATION_CONSENSUS_OPTIONS_HPP
+
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Faults that tests plant to show that their checks find them.
+enum class planted_fault : std::uint8_t
+{
+    none,
+    /// Grants a second vote in one term.
+    double_vote,
+    /// Counts acknowledgements of entries of earlier terms as a commit.
+    commit_of_earlier_term,
+    /// Votes although the leader was heard of within the election timeout.
+    vote_despite_leader,
+    /// Acknowledges messages that are addressed to another incarnation.
+    foreign_incarnation,
+    /// Founds a group without the agreement of all initial members.
+    found_alone,
+};
+
+/// Settings of a `consensus_member`; docs/consensus.md describes each.
+struct consensus_options
+{
+    /// Names of all control members of the deployment, this one included. Only
+    /// these are admitted when they ask to join.
+    std::vector<member_id> members;
+    /// Whether this member takes part in founding a new group.
+    bool is_founding = false;
+
+    duration heartbeat_interval = std::chrono::milliseconds(100);
+    duration election_timeout_minimum = std::chrono::milliseconds(500);
+    duration election_timeout_maximum = std::chrono::milliseconds(1000);
+    /// Largest assumed difference between two members' clock rates.
+    std::int64_t clock_margin_percent = 1;
+
+    /// Largest command, in bytes.
+    std::size_t command_bytes = 512UL * 1024;
+    /// Entries of one append, in bytes; a single larger entry goes alone.
+    std::size_t append_bytes = 256UL * 1024;
+    std::size_t append_entries = 1024;
+    /// Appends that may be sent to a member before the first is answered.
+    std::size_t appends_in_flight = 16;
+    std::size_t snapshot_chunk_bytes = 256UL * 1024;
+    /// Largest snapshot that is accepted, in bytes.
+    std::size_t snapshot_bytes = 256UL * 1024 * 1024;
+    /// Proposed, not yet committed commands that the leader holds, in bytes.
+    std::size_t uncommitted_bytes = 16UL * 1024 * 1024;
+    /// Committed entries handed out at once, in bytes.
+    std::size_t apply_bytes = 4UL * 1024 * 1024;
+    /// Entries kept in memory below a snapshot, for members that lag a little.
+    std::size_t entries_kept = 1000;
+
+    /// For tests only.
+    planted_fault fault = planted_fault::none;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
