--- /dev/null
+++ b/include/rhubarbrun/coordination/control_coordinator.hpp
@@ -0,0 +1,130 @@
+#ifndef RHUBARBRUN_COORDINATION_CONTROL_COORDINATOR_HPP
+#define RHUBARBRUN_COORDINATION_CONTROL_COORDINATOR_HPP
+
+#include <rhubarbrun/coordination/lease_messages.hpp>
+#include <rhubarbrun/coordination/lease_table.hpp>
+#include <rhubarbrun/coordination/ownership.hpp>
+#include <rhubarbrun/coordination/target_liveness.hpp>
+#include <rhubarbrun/state/control_state.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Settings of the coordinator.
+struct coordinator_options
+{
+    ownership_options ownership;
+    /// Moves of targets between live proxies, per interval.
+    std::size_t moves_per_interval = 8;
+    duration move_interval = std::chrono::seconds(1);
+    /// After a leader starts, targets are not moved between live proxies for
+    /// this long, as proxies may only just be joining.
+    duration settling_time = std::chrono::seconds(5);
+    /// A command that was proposed but not applied is proposed again.
+    duration retry_interval = std::chrono::seconds(2);
+    /// How long a target avoids the proxy that released it unasked.
+    duration avoid_time = std::chrono::minutes(1);
+    /// A proxy without a lease for this long is removed.
+    duration forget_proxy_after = std::chrono::minutes(10);
+};
+
+/// The control leader's decisions: turns lease expiry, registrations, drains,
+/// releases and target reports into commands to propose.
+///
+/// It reads the replicated state by reference; the state must outlive it and
+/// must not change other than through `on_applied`. Each target whose state
+/// may call for a command is looked at until the state shows the outcome, so
+/// that a lost proposal is repeated. Not thread-safe.
+class control_coordinator
+{
+public:
+    explicit control_coordinator(const control_state& state,
+                                 coordinator_options options = {});
+
+    /// Starts to lead. Call after the leader's own first log entry was
+    /// applied.
+    auto start_leading(time_point now) -> void;
+
+    auto stop_leading() -> void;
+
+    [[nodiscard]] auto is_leading() const noexcept -> bool
+    {
+        return leases_.is_leading();
+    }
+
+    /// Answers a lease request; see `lease_table::renew`.
+    auto on_lease_request(time_point now, time_point leader_lease_until,
+                          const lease_request& request) -> lease_grant;
+
+    /// Takes a proxy's report on announcements.
+    auto on_target_report(time_point now, const target_report& report) -> void;
+
+    /// Takes note of a command that the state has applied.
+    auto on_applied(time_point now, const control_command& command,
+                    const command_result& result) -> void;
+
+    /// Commands to propose at `now`. Its cost is proportional to what changed
+    /// or fell due; call it after each event and at `next_due`.
+    auto tick(time_point now) -> std::vector<control_command>;
+
+    /// When `tick` has something to do next, unless an event comes first.
+    [[nodiscard]] auto next_due() const -> std::optional<time_point>;
+
+    /// Number of targets and proxies looked at so far, for metrics and for
+    /// the check that a tick costs no more than what changed.
+    [[nodiscard]] auto evaluations() const noexcept -> std::uint64_t
+    {
+        return evaluations_;
+    }
+
+    /// Proxies and their leases, for dumps.
+    [[nodiscard]] auto leases() const noexcept -> const lease_table&
+    {
+        return leases_;
+    }
+
+private:
+    [[nodiscard]] auto lease_length() const -> duration;
+    auto on_registered(time_point now, const proxy_identity& proxy) -> void;
+    auto on_drained(time_point now, const proxy_id& proxy) -> void;
+    auto on_target_changed(time_point now, const target_id& target) -> void;
+    auto on_released(time_point now, const release_target_command& command)
+        -> void;
+    auto on_expired(time_point now, const proxy_identity& proxy) -> void;
+    auto settle_if_free(time_point now, const proxy_identity& proxy) -> void;
+    auto sync_all_targets(time_point now) -> void;
+    auto sync_target(const target_id& target) -> void;
+    auto schedule(const target_id& target, time_point due) -> void;
+    auto evaluate(time_point now, const target_id& target)
+        -> std::optional<control_command>;
+    [[nodiscard]] auto usable(const std::optional<proxy_identity>& proxy) const
+        -> bool;
+    auto forget_proxies(time_point now, std::vector<control_command>& out)
+        -> void;
+    auto plan_moves(time_point now) -> void;
+
+    const control_state* state_;
+    coordinator_options options_;
+    lease_table leases_;
+    ownership plan_;
+    target_liveness liveness_;
+    /// Targets to look at, by time and by name.
+    std::set<std::pair<time_point, target_id>> due_;
+    std::map<target_id, time_point> due_at_;
+    /// Proxies without a lease, by the time when they are removed.
+    std::set<std::pair<time_point, proxy_identity>> absent_;
+    time_point next_moves_;
+    bool may_move_ = false;
+    std::uint64_t evaluations_ = 0;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/lease_holder.hpp
@@ -0,0 +1,84 @@
+#ifndef RHUBARBRUN_COORDINATION_LEASE_HOLDER_HPP
+#define RHUBARBRUN_COORDINATION_LEASE_HOLDER_HPP
+
+#include <rhubarbrun/coordination/lease_messages.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstdint>
+
+namespace rhubarbrun::inline v1 {
+
+/// What became of a grant.
+enum class grant_outcome : std::uint8_t
+{
+    /// The lease lasts until `valid_until()`.
+    extended,
+    /// A grant that says nothing new: for another incarnation, late, or not
+    /// an answer to a request of this holder.
+    ignored,
+    /// The directory is older than the grant requires; the lease keeps its
+    /// former end. Fetch a delta.
+    directory_behind,
+    /// The leader refused; see the status of the grant.
+    refused,
+};
+
+/// Proxy side of the lease that covers all targets it owns. Not thread-safe.
+class lease_holder
+{
+public:
+    /// The holder gives up this part of a lease early, as its clock may run
+    /// slower than the leader's: 1 in 100.
+    static constexpr std::int64_t clock_margin_divisor = 100;
+
+    /// A holder of no lease; `started_at` counts as the first contact with
+    /// control.
+    lease_holder(proxy_identity self, time_point started_at);
+
+    /// The request to send at `now`.
+    [[nodiscard]] auto make_request(time_point now,
+                                    log_index directory_index) const
+        -> lease_request;
+
+    /// Takes the leader's answer, received at `now`.
+    ///
+    /// The lease counts from the send time of the request, as the leader
+    /// counts from a later time.
+    auto on_grant(time_point now, const lease_grant& grant,
+                  log_index directory_index) -> grant_outcome;
+
+    /// Whether the lease holds; check at the moment of each send to a primary
+    /// and of each acknowledgement.
+    [[nodiscard]] auto holds_at(time_point now) const noexcept -> bool
+    {
+        return now < valid_until_;
+    }
+
+    /// End of the lease by this proxy's clock.
+    [[nodiscard]] auto valid_until() const noexcept -> time_point
+    {
+        return valid_until_;
+    }
+
+    /// Whether the leader has accepted a request within `silence`; otherwise
+    /// the proxy is not ready and takes no new work.
+    [[nodiscard]] auto has_contact(time_point now,
+                                   duration silence) const noexcept -> bool
+    {
+        return now - last_contact_ < silence;
+    }
+
+    /// Gives the lease up at once, for a shutdown.
+    auto abandon() noexcept -> void;
+
+private:
+    proxy_identity self_;
+    time_point started_at_;
+    time_point last_contact_;
+    time_point valid_until_ = time_point::min();
+    bool is_abandoned_ = false;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/lease_messages.hpp
@@ -0,0 +1,67 @@
+#ifndef RHUBARBRUN_COORDINATION_LEASE_MESSAGES_HPP
+#define RHUBARBRUN_COORDINATION_LEASE_MESSAGES_HPP
+
+#include <rhubarbrun/state/directory_records.hpp>
+#include <rhubarbrun/state/ids.hpp>
+
+#include <cstdint>
+
+namespace rhubarbrun::inline v1 {
+
+/// Proxy to control leader: renew my lease.
+struct lease_request
+{
+    proxy_identity proxy;
+    /// Proxy's clock in microseconds; returned unchanged in the answer.
+    std::int64_t sent_at_us = 0;
+    /// Index of the proxy's directory.
+    log_index directory_index;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(proxy, sent_at_us, directory_index);
+    }
+};
+
+/// Why a lease was granted or not.
+enum class lease_status : std::uint8_t
+{
+    granted,
+    /// The asked member does not lead, or cannot prove that it still does.
+    not_leading,
+    /// The proxy is not registered; it has to register.
+    unknown_proxy,
+    /// A later incarnation of the proxy has registered; this one has to stop.
+    superseded,
+    /// The lease has expired and the proxy's targets are being reassigned; it
+    /// asks again with its next renewal.
+    reassigning,
+};
+
+/// Control leader to proxy: answer to one `lease_request`.
+struct lease_grant
+{
+    proxy_identity proxy;
+    lease_status status = lease_status::not_leading;
+    /// Of the request.
+    std::int64_t sent_at_us = 0;
+    /// Length of the lease from the moment at which the request was sent.
+    std::int64_t duration_us = 0;
+    /// The grant counts only for a proxy whose directory has this index:
+    /// earlier assignments may have been taken away from it.
+    log_index required_index;
+    /// Index of the leader's state; a proxy behind it may ask for a delta.
+    log_index directory_index;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(proxy, status, sent_at_us, duration_us, required_index,
+                directory_index);
+    }
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/lease_table.hpp
@@ -0,0 +1,100 @@
+#ifndef RHUBARBRUN_COORDINATION_LEASE_TABLE_HPP
+#define RHUBARBRUN_COORDINATION_LEASE_TABLE_HPP
+
+#include <rhubarbrun/coordination/lease_messages.hpp>
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Leader side of the leases: when each proxy's lease expires.
+///
+/// One lease per proxy covers all targets that it owns. A lease that has
+/// expired is granted again only after `settle`, when nothing is assigned to
+/// the proxy any more.
+class lease_table
+{
+public:
+    /// Starts with all leases treated as renewed at `now`.
+    ///
+    /// `longest_lease` is the longest that a former leader may have granted,
+    /// `applied` the index up to which this leader has applied the log; it
+    /// includes the leader's own first entry, hence all commands of former
+    /// leaders that will ever take effect.
+    auto start_leading(time_point now, duration longest_lease,
+                       const std::vector<proxy_identity>& proxies,
+                       log_index applied) -> void;
+
+    /// Drops all leases; none is granted until `start_leading`.
+    auto stop_leading() -> void;
+
+    [[nodiscard]] auto is_leading() const noexcept -> bool
+    {
+        return is_leading_;
+    }
+
+    /// Adds a proxy that has registered, with a lease from `now`. An earlier
+    /// incarnation keeps its lease until that expires.
+    auto admit(time_point now, duration lease, const proxy_identity& proxy,
+               log_index applied) -> void;
+
+    /// Answers a request. Grants only before `leader_lease_until`, the time
+    /// up to which consensus rules out that there is another leader.
+    auto renew(time_point now, duration lease, time_point leader_lease_until,
+               const lease_request& request, log_index applied) -> lease_grant;
+
+    /// Proxies whose lease has expired since the last call. From then on they
+    /// are refused until they are settled.
+    auto take_expired(time_point now) -> std::vector<proxy_identity>;
+
+    /// Allows a proxy with an expired lease to be granted one again: as of
+    /// `applied`, it owns nothing.
+    auto settle(const proxy_identity& proxy, log_index applied) -> void;
+
+    /// Forgets a proxy.
+    auto remove(const proxy_identity& proxy) -> void;
+
+    /// Whether the proxy is known and its lease has not been taken as expired.
+    [[nodiscard]] auto is_live(const proxy_identity& proxy) const -> bool;
+
+    /// Whether the proxy's lease was taken as expired and it is not settled.
+    [[nodiscard]] auto is_expired(const proxy_identity& proxy) const -> bool;
+
+    /// When the next lease expires.
+    [[nodiscard]] auto next_expiry() const -> std::optional<time_point>;
+
+private:
+    enum class lease_phase : std::uint8_t
+    {
+        live,
+        /// Expired; targets are being reassigned.
+        expired,
+        /// Expired and owns nothing; the next request is granted.
+        settled,
+    };
+
+    struct entry
+    {
+        lease_phase phase = lease_phase::live;
+        time_point expires_at;
+        log_index required_index;
+    };
+
+    auto extend(const proxy_identity& proxy, entry& lease, time_point until)
+        -> void;
+
+    bool is_leading_ = false;
+    std::map<proxy_identity, entry> entries_;
+    /// Live leases by expiry.
+    std::set<std::pair<time_point, proxy_identity>> expiries_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/ownership.hpp
@@ -0,0 +1,151 @@
+#ifndef RHUBARBRUN_COORDINATION_OWNERSHIP_HPP
+#define RHUBARBRUN_COORDINATION_OWNERSHIP_HPP
+
+#include <rhubarbrun/state/directory_records.hpp>
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Settings of the damping.
+struct ownership_options
+{
+    /// A proxy that joins again within this time after it left has flapped.
+    duration flap_window = std::chrono::minutes(10);
+    /// A proxy that flapped gets no targets for this long, twice as long for
+    /// each further time within the window.
+    duration first_quiet_time = std::chrono::seconds(30);
+    duration longest_quiet_time = std::chrono::minutes(10);
+};
+
+/// A target that should move.
+struct ownership_move
+{
+    target_id target;
+    proxy_identity to;
+
+    friend auto operator==(const ownership_move&, const ownership_move&)
+        -> bool = default;
+};
+
+/// Plans which proxy owns which target.
+///
+/// A target keeps its planned owner while that proxy stays. Otherwise it goes
+/// to the proxy with the highest rendezvous score among those that carry the
+/// least: in the target's zone if it has settled proxies, and not to the
+/// owner of another server of the group if there is a choice.
+class ownership
+{
+public:
+    explicit ownership(ownership_options options = {});
+
+    /// Adds a proxy or replaces its former incarnation.
+    auto add_proxy(time_point now, const proxy_identity& proxy,
+                   const zone_id& zone) -> void;
+
+    /// Takes a proxy out; its targets have no planned owner afterwards.
+    /// Returns them.
+    auto remove_proxy(time_point now, const proxy_id& proxy)
+        -> std::vector<target_id>;
+
+    /// Stops planning targets for a proxy that drains; returns those it has.
+    auto drain_proxy(const proxy_id& proxy) -> std::vector<target_id>;
+
+    /// Adds a target, or changes its zone or group.
+    auto put_target(const target_id& target, const group_id& group,
+                    const zone_id& zone) -> void;
+
+    auto remove_target(const target_id& target) -> void;
+
+    /// Records the owner that the replicated state names, if it is known.
+    auto set_owner(const target_id& target,
+                   const std::optional<proxy_identity>& owner) -> void;
+
+    /// Excludes a proxy from a target until a time, after it gave the target
+    /// up because it could not reach it.
+    auto avoid(const target_id& target, const proxy_id& proxy, time_point until)
+        -> void;
+
+    /// The planned owner, chosen now if there is none or if it drains. No
+    /// value if there is no proxy at all.
+    auto place(time_point now, const target_id& target)
+        -> std::optional<proxy_identity>;
+
+    /// Plans at most `limit` moves that bring targets home to their zone,
+    /// even out the load or separate the servers of a group. Looks only at
+    /// zones in which something changed.
+    auto plan_moves(time_point now, std::size_t limit)
+        -> std::vector<ownership_move>;
+
+    /// When a quiet time ends next.
+    [[nodiscard]] auto next_settling() const -> std::optional<time_point>;
+
+    /// Number of targets planned for a proxy.
+    [[nodiscard]] auto load_of(const proxy_id& proxy) const -> std::size_t;
+
+    [[nodiscard]] auto is_member(const proxy_identity& proxy) const -> bool;
+
+private:
+    struct member
+    {
+        proxy_identity identity;
+        zone_id zone;
+        bool is_draining = false;
+        time_point quiet_until = time_point::min();
+        std::set<target_id> targets;
+    };
+
+    struct departure
+    {
+        time_point left_at;
+        std::uint32_t flaps = 0;
+    };
+
+    struct placement
+    {
+        group_id group;
+        zone_id zone;
+        std::optional<proxy_id> owner;
+        std::map<proxy_id, time_point> avoided;
+    };
+
+    struct preference;
+
+    [[nodiscard]] auto rank(time_point now, const target_id& id,
+                            const placement& target,
+                            const member& candidate) const -> preference;
+    [[nodiscard]] auto choose(time_point now, const target_id& id,
+                              const placement& target) const -> const member*;
+    [[nodiscard]] auto shares_group(const placement& target,
+                                    const target_id& id,
+                                    const member& candidate) const -> bool;
+    auto assign(const target_id& id, placement& target,
+                const std::optional<proxy_id>& owner) -> void;
+    auto mark_changed(const zone_id& zone) -> void;
+    auto forget_departures(time_point now) -> void;
+    auto plan_zone(time_point now, const zone_id& zone, std::size_t limit,
+                   std::vector<ownership_move>& moves) -> bool;
+
+    ownership_options options_;
+    std::map<proxy_id, member> members_;
+    std::map<zone_id, std::set<proxy_id>> zones_;
+    std::map<proxy_id, departure> departures_;
+    std::set<std::pair<time_point, proxy_id>> departure_times_;
+    std::map<target_id, placement> targets_;
+    std::map<zone_id, std::set<target_id>> zone_targets_;
+    std::map<group_id, std::set<target_id>> groups_;
+    std::set<std::pair<time_point, proxy_id>> settling_;
+    std::set<zone_id> changed_zones_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/target_liveness.hpp
@@ -0,0 +1,75 @@
+#ifndef RHUBARBRUN_COORDINATION_TARGET_LIVENESS_HPP
+#define RHUBARBRUN_COORDINATION_TARGET_LIVENESS_HPP
+
+#include <rhubarbrun/coordination/target_report.hpp>
+#include <rhubarbrun/state/control_state.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Leader side of the announcements: the newest of what all proxies heard of
+/// each target, and the changes that follow from it.
+class target_liveness
+{
+public:
+    /// Reports arrive up to this long after the announcement they contain.
+    static constexpr duration report_delay = std::chrono::milliseconds(1500);
+    /// An announcement takes back that a target leaves only if it was heard
+    /// this long after the last one that said so. Two proxies may report
+    /// announcements out of order by as much as their report interval.
+    static constexpr duration return_delay = std::chrono::milliseconds(2000);
+    /// Two servers that announce one name with different addresses change the
+    /// record at most this often.
+    static constexpr duration description_interval = std::chrono::seconds(3);
+    /// A change that was proposed but not applied is proposed again.
+    static constexpr duration retry_interval = std::chrono::seconds(2);
+    /// A target that is gone and owned by no proxy is forgotten after this.
+    static constexpr duration forget_after = std::chrono::minutes(10);
+
+    /// Starts with all known targets treated as heard at `now`.
+    auto start_leading(time_point now, const control_state& state) -> void;
+
+    auto stop_leading() -> void;
+
+    /// Takes a report that arrived at `now`.
+    auto on_report(time_point now, const target_report& report,
+                   const control_state& state) -> void;
+
+    /// Changes to propose at `now`; their cost is proportional to the targets
+    /// that were reported differently or that fell due.
+    auto take_changes(time_point now, const control_state& state)
+        -> std::vector<target_change>;
+
+    /// When a target falls due next.
+    [[nodiscard]] auto next_due() const -> std::optional<time_point>;
+
+private:
+    struct observation
+    {
+        time_point heard_at;
+        std::optional<time_point> left_at;
+        std::optional<target_description> description;
+        time_point described_at = time_point::min();
+        time_point due;
+    };
+
+    [[nodiscard]] static auto ttl(const control_state& state) -> duration;
+    auto schedule(const target_id& id, observation& seen, time_point due)
+        -> void;
+    auto evaluate(time_point now, const target_id& id, observation& seen,
+                  const control_state& state, std::vector<target_change>& out)
+        -> bool;
+
+    std::map<target_id, observation> seen_;
+    std::set<std::pair<time_point, target_id>> due_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
