coordination: declare the decisions of the data path

Cause: the proxy is written against the data path's interfaces, which need to be fixed before the decisions behind them are complete.

Change: public headers for admission, statement classes, connections, replica reads, transaction pins, drain, silence detection, pending requests and session tokens. work_class and transaction_status move from the protocol layer to the state layer, because coordination may not include protocol.

--- /dev/null
+++ b/include/rhubarbrun/coordination/admission.hpp
@@ -0,0 +1,298 @@
+#ifndef RHUBARBRUN_COORDINATION_ADMISSION_HPP
+#define RHUBARBRUN_COORDINATION_ADMISSION_HPP
+
+#include <rhubarbrun/coordination/data_path_ids.hpp>
+#include <rhubarbrun/coordination/statement_class.hpp>
+#include <rhubarbrun/state/request_error.hpp>
+#include <rhubarbrun/state/units.hpp>
+#include <rhubarbrun/state/work_class.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// What the queue of a target needs to know of a statement.
+struct admission_request
+{
+    admission_ticket ticket;
+    work_class priority = work_class::order_entry;
+    statement_estimate estimate;
+    /// Database user and application, as one key.
+    std::string caller;
+    std::string database;
+    /// The answer is of no use to the caller after this time.
+    time_point deadline;
+    /// Set for a statement of an open transaction.
+    std::optional<pin_id> pin;
+    /// Set for a statement that is known to open a transaction.
+    bool opens_transaction = false;
+};
+
+/// How much of a target this owner may use.
+struct admission_limits
+{
+    /// Statements that may run at once.
+    std::uint32_t slots = 1;
+    /// Connections that the target accepts from all owners together.
+    std::uint32_t connections = 1;
+    /// Connections left unused, for an owner that takes over while the
+    /// connections of the previous one still stand.
+    std::uint32_t kept_back = 0;
+    /// Connections of a previous owner that still stand.
+    std::uint32_t foreign_connections = 0;
+    /// Statements of a previous owner that still run.
+    std::uint32_t foreign_running = 0;
+    /// Slots that long statements may hold; 0 selects a third, at least one.
+    std::uint32_t long_slots = 0;
+};
+
+/// Faults that tests plant to show that their checks see them.
+enum class admission_fault : std::uint8_t
+{
+    none,
+    one_slot_too_many,
+    one_connection_too_many,
+    forget_expired,
+    first_come_first_served,
+};
+
+/// Settings of an `admission_queue`.
+struct admission_options
+{
+    /// Statements of one class that may wait.
+    std::size_t queue_length = 1024;
+    /// Shares of slot time, by class, while every class has work waiting.
+    /// Order entry gets nearly everything that it asks for; the others keep
+    /// enough to go on.
+    std::array<std::uint32_t, work_class_count> weights{96, 3, 1};
+    /// Statements of open transactions that go ahead of new work of their
+    /// class in a row.
+    std::uint32_t pinned_in_row = 4;
+    /// A running statement counts as long after this time.
+    duration short_bound = std::chrono::milliseconds(100);
+    /// Least and greatest retry hint.
+    duration shortest_hint = std::chrono::milliseconds(50);
+    duration longest_hint = std::chrono::seconds(5);
+    /// Spreads the retry hints; without it hints are not spread.
+    random_function random;
+    /// For tests only.
+    admission_fault fault = admission_fault::none;
+};
+
+/// The statement may be sent to the target now.
+struct admitted_now
+{
+};
+
+/// The statement waits; `start_next` or `expire` will name it.
+struct queued
+{
+};
+
+/// Outcome of `admission_queue::offer`; an error says that it did not run.
+using admission_result = std::variant<admitted_now, queued, request_error>;
+
+/// A statement that was refused after it had waited.
+struct refused_statement
+{
+    admission_ticket ticket;
+    request_error error;
+};
+
+/// State of an `admission_queue`, for dumps and metrics.
+struct admission_snapshot
+{
+    std::uint32_t usable_slots = 0;
+    std::uint32_t usable_connections = 0;
+    std::uint32_t running = 0;
+    std::uint32_t running_long = 0;
+    std::uint32_t connections_in_use = 0;
+    std::uint32_t open_transactions = 0;
+    std::array<std::size_t, work_class_count> waiting{};
+    /// Estimated wait of a new statement, by class.
+    std::array<duration, work_class_count> expected_wait{};
+    std::uint64_t started = 0;
+    std::uint64_t refused = 0;
+    bool is_admitting = true;
+};
+
+/// The single queue of one target, at its owner.
+///
+/// It never lets more statements run than there are slots, nor uses more
+/// connections than the limit. Each ticket gets exactly one outcome: it is
+/// started, refused or cancelled. After each `offer`, `on_finished`,
+/// `on_transaction_closed` and `set_limits`, call `start_next` until it returns
+/// nothing; after `start_next` call `expire`.
+class admission_queue
+{
+public:
+    explicit admission_queue(admission_limits limits,
+                             admission_options options = {});
+
+    /// Places a statement. A refusal has verdict `not_run` and, if waiting
+    /// helps, a retry hint.
+    [[nodiscard]] auto offer(time_point now, admission_request request)
+        -> admission_result;
+
+    /// Takes the next statement that may be sent to the target.
+    [[nodiscard]] auto start_next(time_point now)
+        -> std::optional<admission_ticket>;
+
+    /// The statement left its slot after `measured`. Its connection is free
+    /// unless `on_transaction_opened` was called for it before.
+    auto on_finished(time_point now, admission_ticket ticket, duration measured)
+        -> void;
+
+    /// The running statement `ticket` left its connection in a transaction.
+    auto on_transaction_opened(admission_ticket ticket, pin_id pin) -> void;
+
+    /// The transaction ended and its connection is free or closed. Statements
+    /// of it that still wait are refused; `expire` returns them.
+    auto on_transaction_closed(pin_id pin) -> void;
+
+    /// Removes a waiting statement, which then did not run; returns false if
+    /// it is not waiting.
+    [[nodiscard]] auto cancel(admission_ticket ticket) -> bool;
+
+    /// Returns the statements refused since the last call: those whose
+    /// deadline passed, or can no longer be met.
+    [[nodiscard]] auto expire(time_point now) -> std::vector<refused_statement>;
+
+    /// Earliest deadline of a waiting statement, for a timer.
+    [[nodiscard]] auto next_deadline() const -> std::optional<time_point>;
+
+    /// Running statements and open transactions stay even if they exceed the
+    /// new limits; nothing starts until there is room again.
+    auto set_limits(admission_limits limits) -> void;
+
+    /// Refuses new work from now on, but serves what waits and the statements
+    /// of open transactions.
+    auto stop_admitting() -> void;
+
+    /// Refuses all that waits, for example when the lease is lost; `expire`
+    /// returns it.
+    auto refuse_waiting(request_error error) -> void;
+
+    /// Running and waiting statements, as reported to entry proxies.
+    [[nodiscard]] auto load() const noexcept -> std::uint32_t;
+
+    [[nodiscard]] auto snapshot() const -> admission_snapshot;
+
+private:
+    struct waiting_statement
+    {
+        admission_request request;
+        time_point since;
+        duration estimated_wait{};
+    };
+
+    struct running_statement
+    {
+        work_class priority = work_class::order_entry;
+        std::string caller;
+        std::string database;
+        time_point started;
+        duration charged{};
+        statement_length length = statement_length::unproven;
+        std::optional<pin_id> pin;
+        bool holds_connection = true;
+        bool opens_transaction = false;
+    };
+
+    /// Waiting new work of one caller, and its use of the target.
+    struct caller_queue
+    {
+        std::deque<waiting_statement> waiting;
+        /// Slot time used, in microseconds, since it had to compete.
+        std::int64_t used = 0;
+        std::uint32_t running = 0;
+    };
+
+    struct database_queue
+    {
+        std::map<std::string, caller_queue> callers;
+        std::int64_t used = 0;
+        std::uint32_t running = 0;
+    };
+
+    struct class_queue
+    {
+        std::deque<waiting_statement> pinned;
+        std::map<std::string, database_queue> databases;
+        std::size_t waiting = 0;
+        /// Expected slot time of all that waits.
+        duration work{};
+        /// Slot time used divided by the weight of the class.
+        double used = 0;
+        std::uint32_t pinned_served = 0;
+        /// Measured wait divided by estimated wait.
+        double wait_factor = 1;
+        time_point wait_factor_at;
+    };
+
+    /// Where the next statement to start is.
+    struct place
+    {
+        std::size_t index = 0;
+        bool is_pinned = false;
+        std::string database;
+        std::string caller;
+        std::size_t offset = 0;
+    };
+
+    [[nodiscard]] auto usable_slots() const noexcept -> std::uint32_t;
+    [[nodiscard]] auto usable_connections() const noexcept -> std::uint32_t;
+    [[nodiscard]] auto long_limit() const noexcept -> std::uint32_t;
+    [[nodiscard]] auto may_start(const admission_request& request) const
+        -> bool;
+    [[nodiscard]] auto pick() const -> std::optional<place>;
+    [[nodiscard]] auto pick_in(std::size_t index) const -> std::optional<place>;
+    [[nodiscard]] auto pick_new(std::size_t index) const
+        -> std::optional<place>;
+    [[nodiscard]] auto find(const place& where) -> waiting_statement&;
+    [[nodiscard]] auto remove(const place& where) -> waiting_statement;
+    auto start(time_point now, const waiting_statement& statement) -> void;
+    auto enqueue(waiting_statement statement) -> void;
+    auto charge(const running_statement& statement, duration amount) -> void;
+    auto drop_unused(class_queue& queue) -> void;
+    auto mark_overruns(time_point now) -> void;
+    auto learn_wait(time_point now, std::size_t index, duration estimated,
+                    duration measured) -> void;
+    [[nodiscard]] auto expected_wait(time_point now, std::size_t index,
+                                     duration own) const -> duration;
+    [[nodiscard]] auto refuse(std::string code, std::string message,
+                              duration base) -> request_error;
+    template <class Predicate>
+    auto remove_if(const Predicate& predicate)
+        -> std::vector<waiting_statement>;
+
+    admission_limits limits_;
+    admission_options options_;
+    std::array<class_queue, work_class_count> classes_;
+    std::unordered_map<admission_ticket, running_statement> running_;
+    /// Open transactions; the value says whether a statement of it runs.
+    std::unordered_map<pin_id, bool> transactions_;
+    std::vector<refused_statement> refused_;
+    std::uint32_t running_long_ = 0;
+    std::uint32_t running_unproven_ = 0;
+    std::uint32_t single_connections_ = 0;
+    std::uint32_t opening_transactions_ = 0;
+    std::uint64_t started_count_ = 0;
+    std::uint64_t refused_count_ = 0;
+    time_point last_now_;
+    bool is_admitting_ = true;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/connection_budget.hpp
@@ -0,0 +1,94 @@
+#ifndef RHUBARBRUN_COORDINATION_CONNECTION_BUDGET_HPP
+#define RHUBARBRUN_COORDINATION_CONNECTION_BUDGET_HPP
+
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstdint>
+
+namespace rhubarbrun::inline v1 {
+
+/// Limits of a `connection_budget`.
+struct connection_budget_options
+{
+    /// Connections that the target accepts from all owners together.
+    std::uint32_t limit = 1;
+    std::uint32_t slots = 1;
+    /// Connections opened at once. Opening takes about 12 ms, so four at once
+    /// give over 300 new connections a second.
+    std::uint32_t opens_at_once = 4;
+    /// Peak use is forgotten, and spare connections are closed, over this time.
+    duration idle_time = std::chrono::seconds(30);
+    /// Wait after the first failed attempt; doubles up to `longest_wait`.
+    duration first_wait = std::chrono::milliseconds(50);
+    duration longest_wait = std::chrono::seconds(2);
+    /// Spreads the waits of owners that lost their targets together.
+    random_function random;
+};
+
+/// Connections to a target at one moment.
+struct connection_use
+{
+    /// Ready connections, in use or idle.
+    std::uint32_t open = 0;
+    std::uint32_t opening = 0;
+    std::uint32_t in_use = 0;
+    /// Statements waiting for a connection.
+    std::uint32_t waiting = 0;
+    /// Connections of a previous owner that still stand.
+    std::uint32_t foreign = 0;
+};
+
+/// What to do next; at most one of the counts is above zero.
+struct connection_plan
+{
+    std::uint32_t open = 0;
+    std::uint32_t close_idle = 0;
+};
+
+/// Connections that an owner leaves unused, so that the next owner can fill
+/// all slots while the connections of this one still stand.
+[[nodiscard]] auto kept_back_connections(std::uint32_t limit,
+                                         std::uint32_t slots) noexcept
+    -> std::uint32_t;
+
+/// Decides how many connections to open ahead of demand and to close.
+///
+/// Call `plan` after each change and at `next_time`.
+class connection_budget
+{
+public:
+    explicit connection_budget(connection_budget_options options);
+
+    [[nodiscard]] auto plan(time_point now, const connection_use& use)
+        -> connection_plan;
+
+    /// An attempt succeeded; the waits start from the beginning.
+    auto on_opened(time_point now) -> void;
+
+    /// An attempt failed: one attempt at a time from now on, after a wait that
+    /// doubles, until one succeeds.
+    auto on_open_failed(time_point now) -> void;
+
+    /// An open connection was lost; the next ones are opened one at a time
+    /// until one succeeds.
+    auto on_lost(time_point now) -> void;
+
+    /// Earliest time at which `plan` may give another result by itself.
+    [[nodiscard]] auto next_time() const noexcept -> time_point;
+
+    /// Connections that this owner may hold, opening ones included.
+    [[nodiscard]] auto usable(std::uint32_t foreign_connections) const noexcept
+        -> std::uint32_t;
+
+private:
+    connection_budget_options options_;
+    std::uint32_t peak_ = 0;
+    time_point peak_since_;
+    time_point not_before_;
+    std::uint32_t failures_ = 0;
+    bool is_proven_ = false;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/data_path_ids.hpp
@@ -0,0 +1,38 @@
+#ifndef RHUBARBRUN_COORDINATION_DATA_PATH_IDS_HPP
+#define RHUBARBRUN_COORDINATION_DATA_PATH_IDS_HPP
+
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/strong_id.hpp>
+
+#include <compare>
+#include <cstdint>
+
+namespace rhubarbrun::inline v1 {
+
+/// A statement in the queue of one target. The owner assigns it, because
+/// request ids are unique only within one entry proxy's incarnation.
+using admission_ticket = strong_id<struct admission_ticket_tag, std::uint64_t>;
+
+/// An open transaction that holds a connection; assigned by the owner.
+using pin_id = strong_id<struct pin_id_tag, std::uint64_t>;
+
+/// A connection from the owner to a target; never reused.
+using connection_id = strong_id<struct connection_id_tag, std::uint64_t>;
+
+/// A link to another proxy; a new connection is a new link.
+using link_id = strong_id<struct link_id_tag, std::uint64_t>;
+
+/// A caller's session as the owner knows it: session ids are unique only
+/// within one incarnation of their entry proxy.
+struct entry_session
+{
+    incarnation entry;
+    session_id session;
+
+    friend auto operator<=>(const entry_session&, const entry_session&)
+        -> std::strong_ordering = default;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/drain.hpp
@@ -0,0 +1,95 @@
+#ifndef RHUBARBRUN_COORDINATION_DRAIN_HPP
+#define RHUBARBRUN_COORDINATION_DRAIN_HPP
+
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace rhubarbrun::inline v1 {
+
+/// Phase of a proxy's graceful shutdown.
+enum class drain_phase : std::uint8_t
+{
+    serving,
+    /// Not ready; targets are being handed over; sessions still served.
+    handing_over,
+    /// No new session; requests in flight and open transactions finish.
+    finishing,
+    /// Idle sessions are being closed.
+    closing,
+    ended,
+};
+
+/// What the drain decides on, counted at one moment.
+struct drain_view
+{
+    /// Targets whose lease this proxy still holds.
+    std::size_t targets = 0;
+    /// Requests accepted from callers or other proxies and not yet answered.
+    std::size_t requests_in_flight = 0;
+    /// Sessions of this proxy's callers.
+    std::size_t sessions = 0;
+    /// Sessions with an open transaction.
+    std::size_t sessions_in_transaction = 0;
+};
+
+/// What the proxy does in the current phase. The flags stay set once set.
+struct drain_orders
+{
+    bool is_ready = true;
+    bool hand_over_targets = false;
+    bool accept_sessions = true;
+    /// Close sessions that have neither a request nor a transaction, with
+    /// 57P01.
+    bool close_idle_sessions = false;
+    /// Close also sessions that are idle in a transaction.
+    bool close_idle_transactions = false;
+    bool exit = false;
+};
+
+/// Times of a `drain`.
+struct drain_options
+{
+    /// Time that the load balancer needs to see that the proxy is not ready;
+    /// sessions are accepted meanwhile.
+    duration not_ready_time = std::chrono::seconds(1);
+    /// Longest wait for open transactions.
+    duration transaction_wait = std::chrono::seconds(2);
+    /// Longest wait for targets to be handed over.
+    duration handover_wait = std::chrono::seconds(5);
+};
+
+/// State machine of a proxy's graceful shutdown.
+class drain
+{
+public:
+    explicit drain(drain_options options = {});
+
+    /// The first signal starts the drain; the second ends it at once.
+    auto on_signal(time_point now) -> void;
+
+    /// Returns what to do now; call after each change and at `next_time`.
+    [[nodiscard]] auto step(time_point now, const drain_view& view)
+        -> drain_orders;
+
+    [[nodiscard]] auto phase() const noexcept -> drain_phase;
+
+    /// Next time at which `step` may decide by time alone.
+    [[nodiscard]] auto next_time() const -> std::optional<time_point>;
+
+private:
+    auto advance(time_point now, const drain_view& view) -> void;
+    [[nodiscard]] auto are_transactions_cut(time_point now) const noexcept
+        -> bool;
+
+    drain_options options_;
+    drain_phase phase_ = drain_phase::serving;
+    time_point started_;
+    time_point finishing_since_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/coordination/read_policy.hpp
@@ -0,0 +1,80 @@
+#ifndef RHUBARBRUN_COORDINATION_READ_POLICY_HPP
+#define RHUBARBRUN_COORDINATION_READ_POLICY_HPP
+
+#include <rhubarbrun/state/log_position.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace rhubarbrun::inline v1 {
+
+/// What a read asks of the data that it is served from.
+struct read_requirements
+{
+    /// The server must have replayed this position.
+    std::optional<log_position> floor;
+    /// Accepted age of the data; zero means that only `floor` counts.
+    duration max_age{};
+    /// Time at which the caller no longer wants the answer.
+    time_point deadline;
+};
+
+/// A position of the primary and a time at which it had not yet passed it.
+struct primary_sample
+{
+    time_point at;
+    log_position position;
+};
+
+/// Recent positions of a group's primary, from which the age of a replica's
+/// data follows.
+///
+/// A replica that replayed a position holds everything written up to the
+/// latest sample at or below it, so its data is at most as old as that sample.
+class primary_history
+{
+public:
+    /// Samples kept; at one per 50 ms they cover a minute.
+    static constexpr std::size_t most_samples = 1200;
+    /// Samples closer than this replace each other.
+    static constexpr duration least_interval = std::chrono::milliseconds(50);
+
+    /// The primary was at `position` when it was asked at `asked_at`. Samples
+    /// that go back in time or position are ignored.
+    auto add(time_point asked_at, log_position position) -> void;
+
+    /// Greatest age of the data at `replayed`; no value if it is not known.
+    [[nodiscard]] auto age(time_point now, log_position replayed) const
+        -> std::optional<duration>;
+
+    [[nodiscard]] auto newest() const -> std::optional<primary_sample>;
+
+    /// Bytes that the primary writes in a second, from the samples.
+    [[nodiscard]] auto bytes_per_second() const -> double;
+
+private:
+    std::deque<primary_sample> samples_;
+};
+
+/// Whether a replica may serve a read.
+enum class read_fitness : std::uint8_t
+{
+    fit,
+    /// Its known position is below the floor.
+    behind_floor,
+    /// Its data is older than the read accepts, or of unknown age.
+    too_old,
+};
+
+/// Checks a replica that had replayed `replayed` against a read.
+[[nodiscard]] auto check_read(time_point now,
+                              const read_requirements& requirements,
+                              const primary_history& history,
+                              log_position replayed) -> read_fitness;
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- a/include/rhubarbrun/protocol/execute_messages.hpp
+++ b/include/rhubarbrun/protocol/execute_messages.hpp
@@ -4,6 +4,8 @@
 #include <rhubarbrun/state/ids.hpp>
 #include <rhubarbrun/state/log_position.hpp>
 #include <rhubarbrun/state/request_error.hpp>
+#include <rhubarbrun/state/transaction_status.hpp>
+#include <rhubarbrun/state/work_class.hpp>
 
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -16,17 +18,6 @@
 
 namespace rhubarbrun::inline v1 {
 
-/// Priority class of a request, in the order in which it is served.
-enum class work_class : std::uint8_t
-{
-    /// Writes and statements of transactions that may write.
-    order_entry,
-    /// Short reads.
-    lookup,
-    /// Long reads.
-    report,
-};
-
 /// How the owner sends a statement to the target.
 enum class statement_form : std::uint8_t
 {
@@ -106,14 +97,6 @@
     }
 };
 
-/// State of the session's transaction at the target, as in ReadyForQuery.
-enum class transaction_status : std::uint8_t
-{
-    idle = 'I',
-    in_transaction = 'T',
-    failed = 'E',
-};
-
 /// Owner to entry proxy: the whole answer to one `execute_request`.
 struct execute_reply
 {
