--- /dev/null
+++ b/include/rhubarbrun/transport/http_server.hpp
@@ -0,0 +1,64 @@
+#ifndef RHUBARBRUN_TRANSPORT_HTTP_SERVER_HPP
+#define RHUBARBRUN_TRANSPORT_HTTP_SERVER_HPP
+
+#include <rhubarbrun/state/units.hpp>
+#include <rhubarbrun/transport/asio.hpp>
+#include <rhubarbrun/transport/http_message.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rhubarbrun::inline v1 {
+
+/// Sends the response; call once, from any thread, at once or later.
+using http_reply = std::function<void(http_response)>;
+
+/// Handles one request on a thread of the io_context; handlers run at the
+/// same time. An exception is answered with status 500.
+using http_handler = std::function<void(const http_request&, http_reply)>;
+
+/// Limits of an HTTP server.
+struct http_server_limits
+{
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
+    /// Time to receive a whole request, and to send a whole response.
+    duration transfer = std::chrono::seconds(10);
+    /// Time for the handler to reply; then status 504.
+    duration handler = std::chrono::seconds(15);
+    std::size_t connections = 1024;
+};
+
+/// HTTP/1.1 server with routes. Functions may be called from any thread.
+class http_server
+{
+public:
+    explicit http_server(asio::io_context& context,
+                         http_server_limits limits = {});
+    ~http_server();
+    http_server(const http_server&) = delete;
+    auto operator=(const http_server&) -> http_server& = delete;
+
+    /// Adds a route; a pattern part `{name}` matches one path part, which the
+    /// handler finds in `parameters`. Add all routes before `listen`.
+    auto route(std::string method, std::string pattern, http_handler handler)
+        -> void;
+
+    /// Accepts connections; returns the bound endpoint.
+    /// @throws boost::system::system_error if the endpoint cannot be bound.
+    auto listen(const asio::ip::tcp::endpoint& endpoint)
+        -> asio::ip::tcp::endpoint;
+
+    /// Closes everything; later replies are dropped.
+    auto stop() -> void;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
