protocol: carry shape, caller and reroute hints in execute messages

Cause: the owner needs the statement shape and the caller's key for its queue, and the entry needs to know whether a refused request may go elsewhere. Change: execute_request carries shape, hinted class and caller instead of a class; an accepted age is sent as a position; execute_reply has a reroute hint; position_query asks for one target. write_acknowledger uses the bundle's acknowledge_mode. Measured: nothing; interfaces only, the tests of the layers pass.

--- a/include/rhubarbrun/coordination/failover.hpp
+++ b/include/rhubarbrun/coordination/failover.hpp
@@ -61,7 +61,7 @@
     target_id primary;
     /// All other servers of the group that are known and not gone.
     std::vector<target_id> others;
-    acknowledge_policy policy = acknowledge_policy::second_server;
+    acknowledge_mode acknowledge = acknowledge_mode::second_server;
     /// Highest acknowledged position, if this owner served the whole term.
     std::optional<timeline_position> highest_acknowledged;
 };
--- a/include/rhubarbrun/coordination/write_acknowledger.hpp
+++ b/include/rhubarbrun/coordination/write_acknowledger.hpp
@@ -1,6 +1,7 @@
 #ifndef RHUBARBRUN_COORDINATION_WRITE_ACKNOWLEDGER_HPP
 #define RHUBARBRUN_COORDINATION_WRITE_ACKNOWLEDGER_HPP
 
+#include <rhubarbrun/state/bundle.hpp>
 #include <rhubarbrun/state/ids.hpp>
 #include <rhubarbrun/state/log_position.hpp>
 #include <rhubarbrun/state/units.hpp>
@@ -12,15 +13,6 @@
 
 namespace rhubarbrun::inline v1 {
 
-/// When a write counts as durable.
-enum class acknowledge_policy : std::uint8_t
-{
-    /// As soon as the primary has committed it.
-    primary,
-    /// When a second server has its log position on disk.
-    second_server,
-};
-
 /// Positions at the primary, read by one poll.
 struct replication_positions
 {
@@ -48,8 +40,8 @@
 {
 public:
     /// @param wait_limit How long a write waits for a second server.
-    write_acknowledger(acknowledge_policy policy, duration wait_limit) noexcept
-        : policy_(policy), wait_limit_(wait_limit)
+    write_acknowledger(acknowledge_mode mode, duration wait_limit) noexcept
+        : mode_(mode), wait_limit_(wait_limit)
     {
     }
 
@@ -88,8 +80,7 @@
     /// Raises the highest position, when an owner takes over a primary.
     auto raise_to(log_offset position) noexcept -> void;
 
-    auto set_policy(acknowledge_policy policy, duration wait_limit) noexcept
-        -> void;
+    auto set_mode(acknowledge_mode mode, duration wait_limit) noexcept -> void;
 
 private:
     struct waiting_write
@@ -104,7 +95,7 @@
     is_durable(const waiting_write& write,
                const replication_positions& positions) const noexcept -> bool;
 
-    acknowledge_policy policy_;
+    acknowledge_mode mode_;
     duration wait_limit_;
     bool is_polling_ = false;
     log_offset highest_acknowledged_;
--- a/include/rhubarbrun/protocol/execute_messages.hpp
+++ b/include/rhubarbrun/protocol/execute_messages.hpp
@@ -76,38 +76,55 @@
     term group_term;
     statement body;
     transaction_step step = transaction_step::single;
-    work_class priority = work_class::order_entry;
     bool is_read_only = false;
     bool is_idempotent = false;
     request_key key;
+    /// Class that the caller stated; otherwise the owner learns it.
+    std::optional<work_class> hinted_class;
+    /// Key for learned classes.
+    std::string shape;
+    /// Database user and application, as one key for fair shares.
+    std::string caller;
     /// Time left, in microseconds, when the entry sent this message.
     std::int64_t time_left_us = 0;
     /// For reads at a replica: the replica must have replayed this position.
+    /// The entry turns an accepted age into a position as well: that of the
+    /// primary at the earliest accepted time.
     std::optional<log_position> floor;
-    /// For reads at a replica: accepted age of the data, in microseconds; 0
-    /// means that only `floor` counts.
-    std::int64_t max_age_us = 0;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(id, session, target, epoch, group_term, body, step, priority,
-                is_read_only, is_idempotent, key, time_left_us, floor,
-                max_age_us);
+        archive(id, session, target, epoch, group_term, body, step,
+                is_read_only, is_idempotent, key, hinted_class, shape, caller,
+                time_left_us, floor);
     }
 };
 
+/// What the entry proxy may do with a request that did not run.
+enum class reroute_hint : std::uint8_t
+{
+    /// Report it to the caller.
+    none,
+    /// Send it again by the newest directory: this owner does not serve it.
+    try_again,
+    /// Send it to the primary: this replica is behind the floor.
+    use_primary,
+};
+
 /// Owner to entry proxy: the whole answer to one `execute_request`.
 struct execute_reply
 {
     request_id id;
     /// Set if the proxy itself, not the target, ended the request.
     std::optional<request_error> error;
+    reroute_hint reroute = reroute_hint::none;
     /// Encoded PostgreSQL backend messages, without ReadyForQuery: the rows
     /// and command tags, or the target's own ErrorResponse.
     std::string answer;
     transaction_status status = transaction_status::idle;
-    /// Position that this session's later reads must have seen.
+    /// After a write: position that this session's later reads must have
+    /// seen. After a read at a replica: position that it had replayed.
     std::optional<log_position> position;
     /// Queued and running statements at the target, for the replica choice.
     std::uint32_t load = 0;
@@ -115,7 +132,7 @@
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(id, error, answer, status, position, load);
+        archive(id, error, reroute, answer, status, position, load);
     }
 };
 
@@ -133,30 +150,39 @@
     }
 };
 
-/// Entry proxy to owner of the primary: what may a new session have seen?
+/// Entry proxy to owner: how far is this target, and how busy?
 struct position_query
 {
     request_id id;
-    group_id group;
+    target_id target;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(id, group);
+        archive(id, target);
     }
 };
 
-/// Highest acknowledged position of the group, or no value if the asked proxy
-/// does not own the primary.
+/// Owner to entry proxy; without a position if the asked proxy does not serve
+/// the target.
 struct position_answer
 {
     request_id id;
+    target_id target;
+    /// Of a primary: the highest acknowledged position, from which a new
+    /// session starts. Of a replica: the replayed position.
     std::optional<log_position> position;
+    /// End of a primary's log; the age of a replica's data is measured by it.
+    std::optional<log_position> log_end;
+    /// Time since these positions were read, in microseconds.
+    std::int64_t age_us = 0;
+    /// Queued and running statements.
+    std::uint32_t load = 0;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(id, position);
+        archive(id, target, position, log_end, age_us, load);
     }
 };
 
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -207,7 +207,7 @@
 
 auto failover::has_enough_positions(const server_status& best) const -> bool
 {
-    if (group_.policy == acknowledge_policy::primary) {
+    if (group_.acknowledge == acknowledge_mode::primary) {
         return true;
     }
     const auto& floor = group_.highest_acknowledged;
--- a/src/coordination/write_acknowledger.cpp
+++ b/src/coordination/write_acknowledger.cpp
@@ -77,10 +77,10 @@
     highest_acknowledged_ = std::max(highest_acknowledged_, position);
 }
 
-auto write_acknowledger::set_policy(acknowledge_policy policy,
-                                    duration wait_limit) noexcept -> void
+auto write_acknowledger::set_mode(acknowledge_mode mode,
+                                  duration wait_limit) noexcept -> void
 {
-    policy_ = policy;
+    mode_ = mode;
     wait_limit_ = wait_limit;
 }
 
@@ -91,7 +91,7 @@
     if (!write.position) {
         return false;
     }
-    if (policy_ == acknowledge_policy::primary) {
+    if (mode_ == acknowledge_mode::primary) {
         return true;
     }
     return positions.highest_replica &&
--- a/tests/coordination/write_acknowledger_test.cpp
+++ b/tests/coordination/write_acknowledger_test.cpp
@@ -21,7 +21,7 @@
 
 TEST_CASE("a write is answered only when a replica holds its position")
 {
-    auto writes = write_acknowledger(acknowledge_policy::second_server, 1000ms);
+    auto writes = write_acknowledger(acknowledge_mode::second_server, 1000ms);
     writes.on_committed(start, 1);
     REQUIRE(writes.wants_poll());
     writes.on_poll_sent();
@@ -35,7 +35,7 @@
 
 TEST_CASE("a poll that left before the commit says nothing about the write")
 {
-    auto writes = write_acknowledger(acknowledge_policy::second_server, 1000ms);
+    auto writes = write_acknowledger(acknowledge_mode::second_server, 1000ms);
     writes.on_committed(start, 1);
     writes.on_poll_sent();
     writes.on_committed(start, 2);
@@ -47,7 +47,7 @@
 
 TEST_CASE("without a replica a write times out as may have run")
 {
-    auto writes = write_acknowledger(acknowledge_policy::second_server, 1000ms);
+    auto writes = write_acknowledger(acknowledge_mode::second_server, 1000ms);
     writes.on_committed(start, 7);
     writes.on_poll_sent();
     CHECK(writes.on_poll_answered({log_offset(100), std::nullopt}).empty());
@@ -57,7 +57,7 @@
 
 TEST_CASE("a failed poll is not taken for one that saw the write")
 {
-    auto writes = write_acknowledger(acknowledge_policy::second_server, 1000ms);
+    auto writes = write_acknowledger(acknowledge_mode::second_server, 1000ms);
     writes.on_committed(start, 1);
     writes.on_poll_sent();
     writes.on_poll_failed();
@@ -74,7 +74,7 @@
 auto early_acknowledgements(std::uint64_t seed, bool marks_late_writes) -> int
 {
     auto random = std::mt19937_64(seed);
-    auto writes = write_acknowledger(acknowledge_policy::second_server, 60s);
+    auto writes = write_acknowledger(acknowledge_mode::second_server, 60s);
     auto commit_positions = std::map<std::uint64_t, std::uint64_t>{};
     auto log_end = std::uint64_t{1};
     auto replica = std::uint64_t{0};
