coordination: replicate the log of the control members

Cause: bundles, assignments and terms must survive the loss of any one control VM, and at most one history of them may exist.

--- a/include/rhubarbrun/coordination/consensus_options.hpp
+++ b/include/rhubarbrun/coordination/consensus_options.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
--- /dev/null
+++ b/src/coordination/consensus_membership.cpp
@@ -0,0 +1,234 @@
+#include "consensus_core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbrun::detail {
+
+auto consensus_core::is_member() const noexcept -> bool
+{
+    return log_.configuration().find(self_) != nullptr;
+}
+
+auto consensus_core::change_obstacle() const -> std::string_view
+{
+    if (first_own_ > log_.committed()) {
+        return "the leader has not committed an entry of its term yet";
+    }
+    if (log_.configuration_index() > log_.committed()) {
+        return "another membership change is not committed yet";
+    }
+    return {};
+}
+
+auto consensus_core::propose_removal(time_point now,
+                                     const member_identity& identity)
+    -> propose_result
+{
+    now_ = now;
+    if (!is_leader()) {
+        return not_leader{leader_};
+    }
+    if (const auto obstacle = change_obstacle(); !obstacle.empty()) {
+        return not_accepted{std::string(obstacle)};
+    }
+    const auto& configuration = log_.configuration();
+    if (configuration.find(identity) == nullptr) {
+        return not_accepted{"there is no such member"};
+    }
+    if (configuration.is_voter(identity) && configuration.voter_count() == 1) {
+        return not_accepted{"the last voter cannot be removed"};
+    }
+    const auto current = state_.current;
+    const auto index =
+        propose_configuration(now, configuration.without(identity));
+    return proposal{index, current};
+}
+
+auto consensus_core::propose_configuration(time_point now, membership next)
+    -> log_index
+{
+    auto entry = log_entry{};
+    entry.kind = entry_kind::configuration;
+    entry.configuration = std::move(next);
+    const auto index = append_own(std::move(entry));
+    sync_progress(now);
+    send_appends(now);
+    return index;
+}
+
+auto consensus_core::promote_learners(time_point now) -> void
+{
+    if (!change_obstacle().empty()) {
+        return;
+    }
+    for (const auto& member : log_.configuration().members) {
+        const auto found = progress_.find(member.identity);
+        if (member.role != member_role::learner || found == progress_.end()) {
+            continue;
+        }
+        const auto& progress = found->second;
+        const auto is_responsive =
+            progress.has_answered() &&
+            now - progress.heard_at() < options_.election_timeout_minimum;
+        if (is_responsive && progress.matched() >= log_.committed()) {
+            static_cast<void>(propose_configuration(
+                now, log_.configuration().with(
+                         {member.identity, member_role::voter})));
+            return;
+        }
+    }
+}
+
+auto consensus_core::tick_joining(time_point now) -> void
+{
+    const auto silence = now - leader_contact_;
+    const auto is_served = leader_ && is_leader_recent(now);
+    if (is_served ||
+        (is_member() && silence < 2 * options_.election_timeout_maximum))
+    {
+        return;
+    }
+    // A member that was removed without hearing of it asks as well; the leader
+    // ignores members that it has.
+    for (const auto& id : options_.members) {
+        if (id != self_.id) {
+            send({id, incarnation(0)}, join_request{});
+        }
+    }
+}
+
+auto consensus_core::on_join_request(time_point now,
+                                     const member_identity& from) -> void
+{
+    const auto is_allowed = std::binary_search(options_.members.begin(),
+                                               options_.members.end(), from.id);
+    if (!is_leader() || !is_allowed || !change_obstacle().empty()) {
+        return;
+    }
+    const auto& configuration = log_.configuration();
+    if (configuration.find(from) != nullptr) {
+        return;
+    }
+    if (const auto* const former = configuration.find(from.id);
+        former != nullptr) {
+        // Two processes under one name: the one that still answers stays.
+        const auto& progress = progress_.at(former->identity);
+        if (now - progress.heard_at() < options_.election_timeout_maximum) {
+            return;
+        }
+    }
+    // Taking out the former incarnation and adding the new one as a learner
+    // changes a single voter.
+    static_cast<void>(propose_configuration(
+        now, configuration.with({from, member_role::learner})));
+}
+
+auto consensus_core::holds_nothing() const -> bool
+{
+    return state_.current == election_term(0) && log_.is_empty();
+}
+
+auto consensus_core::tick_founding(time_point now) -> void
+{
+    if (!options_.is_founding || !holds_nothing() ||
+        options_.members.front() != self_.id)
+    {
+        return;
+    }
+    if (state_.founder && state_.founder != self_) {
+        refusals_[self_.id] = "agreed earlier to found the group with " +
+                              state_.founder->id.value();
+        return;
+    }
+    state_.founder = self_;
+    if (agreed_.size() + 1 == options_.members.size() ||
+        has_fault(planted_fault::found_alone))
+    {
+        found_group(now);
+        return;
+    }
+    for (const auto& id : options_.members) {
+        if (id != self_.id && !agreed_.contains(id)) {
+            send({id, incarnation(0)}, found_request{options_.members});
+        }
+    }
+}
+
+auto consensus_core::found_group(time_point now) -> void
+{
+    auto initial = membership{};
+    initial = initial.with({self_, member_role::voter});
+    for (const auto& [id, identity] : agreed_) {
+        initial = initial.with({identity, member_role::voter});
+    }
+    state_.current = election_term(1);
+    auto entry = log_entry{};
+    entry.kind = entry_kind::configuration;
+    entry.configuration = std::move(initial);
+    append_own(std::move(entry));
+    agreed_.clear();
+    refusals_.clear();
+    election_deadline_ = now;
+}
+
+auto consensus_core::founding_refusal(const member_identity& founder,
+                                      const found_request& request) const
+    -> std::string
+{
+    if (!options_.is_founding) {
+        return "not told to found a group";
+    }
+    if (!holds_nothing()) {
+        return "holds state of a group";
+    }
+    if (request.members != options_.members ||
+        options_.members.front() != founder.id)
+    {
+        return "has another list of initial members";
+    }
+    if (state_.founder && state_.founder != founder) {
+        return "agreed earlier to found the group with another incarnation "
+               "of " +
+               state_.founder->id.value();
+    }
+    return {};
+}
+
+auto consensus_core::on_found_request(const member_identity& from,
+                                      const found_request& request) -> void
+{
+    auto reason = founding_refusal(from, request);
+    const auto is_agreed = reason.empty();
+    if (is_agreed) {
+        // Durable before the reply leaves: this member never takes part in
+        // another founding, even if the founder loses its disk.
+        state_.founder = from;
+    }
+    send(from, found_reply{is_agreed, std::move(reason)});
+}
+
+auto consensus_core::on_found_reply(time_point now, const member_identity& from,
+                                    const found_reply& reply) -> void
+{
+    const auto is_expected =
+        options_.is_founding && holds_nothing() && state_.founder == self_ &&
+        std::binary_search(options_.members.begin(), options_.members.end(),
+                           from.id);
+    if (!is_expected) {
+        return;
+    }
+    if (!reply.is_agreed) {
+        if (!agreed_.contains(from.id)) {
+            refusals_[from.id] = reply.reason;
+        }
+        return;
+    }
+    refusals_.erase(from.id);
+    agreed_.insert_or_assign(from.id, from);
+    if (agreed_.size() + 1 == options_.members.size()) {
+        found_group(now);
+    }
+}
+
+} // namespace rhubarbrun::detail
