state, coordination: name lease answers and reports apart from messages

Cause: the protocol layer declares messages named lease_grant and target_report in the same namespace, so no file could include both.

Encoded commands and states are strings, as the log takes them. The lease table takes the leader lease as the flag that consensus reports.

Conclusion: control and proxy can include the decisions and the messages.

--- a/include/rhubarbrun/coordination/target_report.hpp
+++ b/include/rhubarbrun/coordination/announcement_report.hpp
@@ -1,5 +1,5 @@
-#ifndef RHUBARBRUN_COORDINATION_TARGET_REPORT_HPP
-#define RHUBARBRUN_COORDINATION_TARGET_REPORT_HPP
+#ifndef RHUBARBRUN_COORDINATION_ANNOUNCEMENT_REPORT_HPP
+#define RHUBARBRUN_COORDINATION_ANNOUNCEMENT_REPORT_HPP
 
 #include <rhubarbrun/state/directory_records.hpp>
 #include <rhubarbrun/state/ids.hpp>
@@ -47,7 +47,7 @@
 };
 
 /// Proxy to control leader: the targets heard since the last report.
-struct target_report
+struct announcement_report
 {
     proxy_identity reporter;
     std::vector<heard_target> heard;
--- a/include/rhubarbrun/coordination/control_coordinator.hpp
+++ b/include/rhubarbrun/coordination/control_coordinator.hpp
@@ -60,11 +60,12 @@
     }
 
     /// Answers a lease request; see `lease_table::renew`.
-    auto on_lease_request(time_point now, time_point leader_lease_until,
-                          const lease_request& request) -> lease_grant;
+    auto on_lease_request(time_point now, bool has_leader_lease,
+                          const lease_request& request) -> lease_answer;
 
     /// Takes a proxy's report on announcements.
-    auto on_target_report(time_point now, const target_report& report) -> void;
+    auto on_announcement_report(time_point now,
+                                const announcement_report& report) -> void;
 
     /// Takes note of a command that the state has applied.
     auto on_applied(time_point now, const control_command& command,
--- a/include/rhubarbrun/coordination/lease_holder.hpp
+++ b/include/rhubarbrun/coordination/lease_holder.hpp
@@ -44,7 +44,7 @@
     ///
     /// The lease counts from the send time of the request, as the leader
     /// counts from a later time.
-    auto on_grant(time_point now, const lease_grant& grant,
+    auto on_grant(time_point now, const lease_answer& grant,
                   log_index directory_index) -> grant_outcome;
 
     /// Whether the lease holds; check at the moment of each send to a primary
--- a/include/rhubarbrun/coordination/lease_messages.hpp
+++ b/include/rhubarbrun/coordination/lease_messages.hpp
@@ -40,7 +40,7 @@
 };
 
 /// Control leader to proxy: answer to one `lease_request`.
-struct lease_grant
+struct lease_answer
 {
     proxy_identity proxy;
     lease_status status = lease_status::not_leading;
--- a/include/rhubarbrun/coordination/lease_table.hpp
+++ b/include/rhubarbrun/coordination/lease_table.hpp
@@ -44,10 +44,10 @@
     auto admit(time_point now, duration lease, const proxy_identity& proxy,
                log_index applied) -> void;
 
-    /// Answers a request. Grants only before `leader_lease_until`, the time
-    /// up to which consensus rules out that there is another leader.
-    auto renew(time_point now, duration lease, time_point leader_lease_until,
-               const lease_request& request, log_index applied) -> lease_grant;
+    /// Answers a request. Grants only with the leader lease, that is while
+    /// consensus rules out that there is another leader.
+    auto renew(time_point now, duration lease, bool has_leader_lease,
+               const lease_request& request, log_index applied) -> lease_answer;
 
     /// Proxies whose lease has expired since the last call. From then on they
     /// are refused until they are settled.
--- a/include/rhubarbrun/coordination/target_announcements.hpp
+++ b/include/rhubarbrun/coordination/target_announcements.hpp
@@ -1,7 +1,7 @@
 #ifndef RHUBARBRUN_COORDINATION_TARGET_ANNOUNCEMENTS_HPP
 #define RHUBARBRUN_COORDINATION_TARGET_ANNOUNCEMENTS_HPP
 
-#include <rhubarbrun/coordination/target_report.hpp>
+#include <rhubarbrun/coordination/announcement_report.hpp>
 #include <rhubarbrun/state/directory.hpp>
 #include <rhubarbrun/state/units.hpp>
 
@@ -54,7 +54,7 @@
     /// A report may get lost; what the directory does not show yet is
     /// reported again as long as it is fresh.
     auto take_report(time_point now, const directory& copy)
-        -> std::optional<target_report>;
+        -> std::optional<announcement_report>;
 
     /// When `take_report` should be called next.
     [[nodiscard]] auto next_report() const -> std::optional<time_point>;
--- a/include/rhubarbrun/coordination/target_liveness.hpp
+++ b/include/rhubarbrun/coordination/target_liveness.hpp
@@ -1,7 +1,7 @@
 #ifndef RHUBARBRUN_COORDINATION_TARGET_LIVENESS_HPP
 #define RHUBARBRUN_COORDINATION_TARGET_LIVENESS_HPP
 
-#include <rhubarbrun/coordination/target_report.hpp>
+#include <rhubarbrun/coordination/announcement_report.hpp>
 #include <rhubarbrun/state/control_state.hpp>
 #include <rhubarbrun/state/units.hpp>
 
@@ -38,7 +38,7 @@
     auto stop_leading() -> void;
 
     /// Takes a report that arrived at `now`.
-    auto on_report(time_point now, const target_report& report,
+    auto on_report(time_point now, const announcement_report& report,
                    const control_state& state) -> void;
 
     /// Changes to propose at `now`; their cost is proportional to the targets
--- a/include/rhubarbrun/state/control_command.hpp
+++ b/include/rhubarbrun/state/control_command.hpp
@@ -4,10 +4,8 @@
 #include <rhubarbrun/state/bundle.hpp>
 #include <rhubarbrun/state/directory_records.hpp>
 
-#include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -223,12 +221,11 @@
 
 /// Encodes a command for the log.
 [[nodiscard]] auto encode_command(const control_command& command)
-    -> std::vector<std::byte>;
+    -> std::string;
 
 /// Decodes a command; throws `std::runtime_error` if the bytes are not the
 /// encoding of one.
-[[nodiscard]] auto decode_command(std::span<const std::byte> bytes)
-    -> control_command;
+[[nodiscard]] auto decode_command(std::string_view bytes) -> control_command;
 
 /// Name of the kind of a command for logs.
 [[nodiscard]] auto name_of(const control_command& command) noexcept
--- a/include/rhubarbrun/state/control_state.hpp
+++ b/include/rhubarbrun/state/control_state.hpp
@@ -9,7 +9,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,6 +78,13 @@
     /// Removals that deltas can name; a copy older than the oldest of them is
     /// replaced as a whole.
     static constexpr std::size_t most_removals = 4096;
+    /// Bounds what false announcements can add.
+    static constexpr std::size_t most_targets = 20'000;
+    /// Earlier incarnations remembered per proxy.
+    static constexpr std::size_t most_former_runs = 8;
+    /// Rolled bundles whose leases may still be held; see
+    /// `longest_granted_lease`.
+    static constexpr std::size_t recent_rolls = 8;
 
     /// Applies the command at `index`, which must be above all earlier ones;
     /// throws `std::logic_error` otherwise. A refused command changes nothing
@@ -96,12 +102,11 @@
     }
 
     /// Encodes the whole state with a format version.
-    [[nodiscard]] auto save() const -> std::vector<std::byte>;
+    [[nodiscard]] auto save() const -> std::string;
 
     /// Decodes a saved state; throws `std::runtime_error` if the bytes are
     /// not one that this version can read.
-    [[nodiscard]] static auto load(std::span<const std::byte> bytes)
-        -> control_state;
+    [[nodiscard]] static auto load(std::string_view bytes) -> control_state;
 
     /// Changes after `since`; its cost is proportional to their number.
     [[nodiscard]] auto delta_since(log_index since) const -> directory_delta;
@@ -265,11 +270,12 @@
     /// Contents of the bundle in force and of open proposals.
     std::map<bundle_version, bundle> contents_;
     std::map<bundle_version, bundle_record> records_;
-    /// Versions up to this one may have lost their history.
-    bundle_version forgotten_versions_;
     std::map<group_id, group_record> groups_;
     std::map<target_id, target_record> targets_;
     std::map<proxy_id, proxy_record> proxies_;
+    /// Earlier incarnations, the latest last, so that a registration that
+    /// arrives late does not replace a newer one.
+    std::map<proxy_id, std::vector<incarnation>> former_runs_;
     /// One counter for all targets, so that the epoch of a target that was
     /// forgotten and announced again does not start anew.
     owner_epoch last_epoch_;
--- a/include/rhubarbrun/state/directory_records.hpp
+++ b/include/rhubarbrun/state/directory_records.hpp
@@ -118,6 +118,8 @@
     /// Who claimed this term, and under which epoch.
     proxy_identity claimant;
     owner_epoch claimant_epoch;
+    /// Log index of the command that set it.
+    log_index set_at;
 
     friend auto operator==(const primary_record&, const primary_record&)
         -> bool = default;
@@ -125,7 +127,7 @@
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(target, group_term, claimant, claimant_epoch);
+        archive(target, group_term, claimant, claimant_epoch, set_at);
     }
 };
 
