--- a/include/rhubarbrun/coordination/admission.hpp
+++ b/include/rhubarbrun/coordination/admission.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -63,7 +64,7 @@
     one_slot_too_many,
     one_connection_too_many,
     forget_expired,
-    first_come_first_served,
+    strict_priority,
 };
 
 /// Settings of an `admission_queue`.
@@ -85,6 +86,10 @@
     duration longest_hint = std::chrono::seconds(5);
     /// Spreads the retry hints; without it hints are not spread.
     random_function random;
+    /// Off: first come, first served, without a limit on long work.
+    bool use_priorities = true;
+    /// Off: nothing is refused for its deadline, neither at once nor later.
+    bool use_deadlines = true;
     /// For tests only.
     admission_fault fault = admission_fault::none;
 };
@@ -119,8 +124,8 @@
     std::uint32_t connections_in_use = 0;
     std::uint32_t open_transactions = 0;
     std::array<std::size_t, work_class_count> waiting{};
-    /// Estimated wait of a new statement, by class.
-    std::array<duration, work_class_count> expected_wait{};
+    /// Expected slot time of what waits, by class.
+    std::array<duration, work_class_count> expected_work{};
     std::uint64_t started = 0;
     std::uint64_t refused = 0;
     bool is_admitting = true;
@@ -192,36 +197,53 @@
     struct waiting_statement
     {
         admission_request request;
+        /// Class after the learned length is taken into account.
+        std::size_t index = 0;
+        /// Order of arrival.
+        std::uint64_t order = 0;
         time_point since;
+        /// Started later, it would not be answered in time.
+        time_point latest_start;
+        /// Estimate of the wait before the learned correction.
         duration estimated_wait{};
     };
 
     struct running_statement
     {
-        work_class priority = work_class::order_entry;
+        std::size_t index = 0;
         std::string caller;
         std::string database;
         time_point started;
         duration charged{};
         statement_length length = statement_length::unproven;
         std::optional<pin_id> pin;
+        /// Whether it holds a connection that no transaction holds.
         bool holds_connection = true;
         bool opens_transaction = false;
+        /// Whether its slot time counts for its caller and database; that of
+        /// an open transaction counts only for the class.
+        bool counts_for_caller = true;
     };
 
-    /// Waiting new work of one caller, and its use of the target.
+    /// Waiting new work of one caller.
     struct caller_queue
     {
         std::deque<waiting_statement> waiting;
-        /// Slot time used, in microseconds, since it had to compete.
-        std::int64_t used = 0;
+        /// Expected slot time of what waits.
+        duration work{};
+        /// Slot time used, in microseconds.
+        double used = 0;
         std::uint32_t running = 0;
     };
 
     struct database_queue
     {
         std::map<std::string, caller_queue> callers;
-        std::int64_t used = 0;
+        std::size_t waiting = 0;
+        double used = 0;
+        /// `used` of the caller served last; a returning caller starts there,
+        /// so that an idle time earns no credit.
+        double floor = 0;
         std::uint32_t running = 0;
     };
 
@@ -234,47 +256,83 @@
         duration work{};
         /// Slot time used divided by the weight of the class.
         double used = 0;
+        double floor = 0;
         std::uint32_t pinned_served = 0;
         /// Measured wait divided by estimated wait.
         double wait_factor = 1;
         time_point wait_factor_at;
     };
 
-    /// Where the next statement to start is.
+    /// Where a statement waits; `database` and `caller` are null for a
+    /// statement of an open transaction.
     struct place
     {
-        std::size_t index = 0;
-        bool is_pinned = false;
-        std::string database;
-        std::string caller;
+        class_queue* group = nullptr;
+        database_queue* database = nullptr;
+        caller_queue* caller = nullptr;
         std::size_t offset = 0;
     };
 
+    using statement_filter = std::function<bool(const waiting_statement&)>;
+
+    // Limits.
     [[nodiscard]] auto usable_slots() const noexcept -> std::uint32_t;
     [[nodiscard]] auto usable_connections() const noexcept -> std::uint32_t;
+    [[nodiscard]] auto connections_in_use() const noexcept -> std::uint32_t;
     [[nodiscard]] auto long_limit() const noexcept -> std::uint32_t;
     [[nodiscard]] auto may_start(const admission_request& request) const
         -> bool;
-    [[nodiscard]] auto pick() const -> std::optional<place>;
-    [[nodiscard]] auto pick_in(std::size_t index) const -> std::optional<place>;
-    [[nodiscard]] auto pick_new(std::size_t index) const
+    [[nodiscard]] auto
+    has_connection_for(const admission_request& request) const -> bool;
+    [[nodiscard]] auto is_length_allowed(statement_length length) const -> bool;
+
+    // Order of service.
+    [[nodiscard]] auto pick() -> std::optional<place>;
+    [[nodiscard]] auto pick_oldest() -> std::optional<place>;
+    [[nodiscard]] auto pick_in(class_queue& group) -> std::optional<place>;
+    [[nodiscard]] auto pick_pinned(class_queue& group) -> std::optional<place>;
+    [[nodiscard]] auto pick_new(class_queue& group) -> std::optional<place>;
+    [[nodiscard]] auto pick_caller(class_queue& group, database_queue& database)
         -> std::optional<place>;
-    [[nodiscard]] auto find(const place& where) -> waiting_statement&;
-    [[nodiscard]] auto remove(const place& where) -> waiting_statement;
-    auto start(time_point now, const waiting_statement& statement) -> void;
+    [[nodiscard]] auto
+    first_startable(const std::deque<waiting_statement>& waiting) const
+        -> std::optional<std::size_t>;
+    [[nodiscard]] static auto at(const place& where) -> waiting_statement&;
+
+    // Changes of the queue.
     auto enqueue(waiting_statement statement) -> void;
+    [[nodiscard]] auto take(const place& where) -> waiting_statement;
+    [[nodiscard]] auto take_if(const statement_filter& filter)
+        -> std::vector<waiting_statement>;
+    auto start_at(time_point now, const place& where) -> admission_ticket;
+    auto note_service(const place& where) -> void;
     auto charge(const running_statement& statement, duration amount) -> void;
-    auto drop_unused(class_queue& queue) -> void;
+    auto on_left_slot(const running_statement& statement) -> void;
+    auto drop_unused(class_queue& group, const std::string& database,
+                     const std::string& caller) -> void;
+    auto count_length(statement_length length, std::int32_t change) -> void;
     auto mark_overruns(time_point now) -> void;
-    auto learn_wait(time_point now, std::size_t index, duration estimated,
-                    duration measured) -> void;
-    [[nodiscard]] auto expected_wait(time_point now, std::size_t index,
-                                     duration own) const -> duration;
-    [[nodiscard]] auto refuse(std::string code, std::string message,
-                              duration base) -> request_error;
-    template <class Predicate>
-    auto remove_if(const Predicate& predicate)
-        -> std::vector<waiting_statement>;
+    auto refuse_late(time_point now) -> void;
+
+    // Estimates.
+    [[nodiscard]] auto expected_wait(time_point now,
+                                     const waiting_statement& statement) const
+        -> duration;
+    [[nodiscard]] auto work_ahead(const waiting_statement& statement) const
+        -> duration;
+    [[nodiscard]] auto work_running(time_point now, bool is_long) const
+        -> duration;
+    [[nodiscard]] auto wait_factor(time_point now, std::size_t index) const
+        -> double;
+    auto learn_wait(time_point now, const waiting_statement& statement) -> void;
+    [[nodiscard]] auto refusal(time_point now,
+                               const waiting_statement& statement)
+        -> std::optional<request_error>;
+    [[nodiscard]] auto is_queue_full(const admission_request& request,
+                                     std::size_t index) const -> bool;
+    [[nodiscard]] auto make_error(std::string_view code,
+                                  std::string_view message, duration wait)
+        -> request_error;
 
     admission_limits limits_;
     admission_options options_;
@@ -283,13 +341,18 @@
     /// Open transactions; the value says whether a statement of it runs.
     std::unordered_map<pin_id, bool> transactions_;
     std::vector<refused_statement> refused_;
+    /// `used` of the class served last.
+    double floor_ = 0;
     std::uint32_t running_long_ = 0;
     std::uint32_t running_unproven_ = 0;
+    std::uint32_t waiting_long_ = 0;
     std::uint32_t single_connections_ = 0;
     std::uint32_t opening_transactions_ = 0;
+    std::uint64_t arrivals_ = 0;
     std::uint64_t started_count_ = 0;
     std::uint64_t refused_count_ = 0;
-    time_point last_now_;
+    /// No waiting statement has to be refused before this time.
+    time_point earliest_refusal_ = time_point::max();
     bool is_admitting_ = true;
 };
 
--- a/include/rhubarbrun/coordination/connection_budget.hpp
+++ b/include/rhubarbrun/coordination/connection_budget.hpp
@@ -73,7 +73,7 @@
     /// until one succeeds.
     auto on_lost(time_point now) -> void;
 
-    /// Earliest time at which `plan` may give another result by itself.
+    /// Time by which `plan` should be called again even if nothing changes.
     [[nodiscard]] auto next_time() const noexcept -> time_point;
 
     /// Connections that this owner may hold, opening ones included.
@@ -81,10 +81,16 @@
         -> std::uint32_t;
 
 private:
+    auto note_need(time_point now, std::uint32_t need) -> void;
+    [[nodiscard]] auto spread(duration base) const -> duration;
+
     connection_budget_options options_;
+    /// Greatest need in the current and the previous period of `idle_time`.
     std::uint32_t peak_ = 0;
+    std::uint32_t previous_peak_ = 0;
     time_point peak_since_;
     time_point not_before_;
+    time_point last_plan_;
     std::uint32_t failures_ = 0;
     bool is_proven_ = false;
 };
--- a/include/rhubarbrun/coordination/drain.hpp
+++ b/include/rhubarbrun/coordination/drain.hpp
@@ -15,9 +15,10 @@
     serving,
     /// Not ready; targets are being handed over; sessions still served.
     handing_over,
-    /// No new session; requests in flight and open transactions finish.
+    /// No new session. Each session is closed once its request is answered and
+    /// its transaction has ended.
     finishing,
-    /// Idle sessions are being closed.
+    /// As above, but sessions that are idle in a transaction are closed too.
     closing,
     ended,
 };
@@ -31,7 +32,7 @@
     std::size_t requests_in_flight = 0;
     /// Sessions of this proxy's callers.
     std::size_t sessions = 0;
-    /// Sessions with an open transaction.
+    /// Sessions with an open transaction, at any target.
     std::size_t sessions_in_transaction = 0;
 };
 
@@ -81,12 +82,14 @@
 
 private:
     auto advance(time_point now, const drain_view& view) -> void;
-    [[nodiscard]] auto are_transactions_cut(time_point now) const noexcept
+    [[nodiscard]] auto is_handed_over(time_point now,
+                                      const drain_view& view) const noexcept
         -> bool;
 
     drain_options options_;
     drain_phase phase_ = drain_phase::serving;
     time_point started_;
+    time_point last_step_;
     time_point finishing_since_;
 };
 
--- a/include/rhubarbrun/coordination/pending_requests.hpp
+++ b/include/rhubarbrun/coordination/pending_requests.hpp
@@ -129,8 +129,9 @@
     using entry_map = std::map<request_id, entry>;
 
     auto erase(entry_map::iterator position) -> void;
-    [[nodiscard]] auto end_unanswered(entry_map::iterator position,
-                                      const char* reason) -> request_ending;
+    auto leave_link(entry& each) -> void;
+    [[nodiscard]] auto end_with(entry_map::iterator position,
+                                request_error error) -> request_ending;
 
     entry_map entries_;
     std::map<link_id, std::set<request_id>> by_link_;
--- a/include/rhubarbrun/coordination/read_policy.hpp
+++ b/include/rhubarbrun/coordination/read_policy.hpp
@@ -39,7 +39,7 @@
 public:
     /// Samples kept; at one per 50 ms they cover a minute.
     static constexpr std::size_t most_samples = 1200;
-    /// Samples closer than this replace each other.
+    /// A sample is replaced by one that follows it within this time.
     static constexpr duration least_interval = std::chrono::milliseconds(50);
 
     /// The primary was at `position` when it was asked at `asked_at`. Samples
@@ -52,10 +52,25 @@
 
     [[nodiscard]] auto newest() const -> std::optional<primary_sample>;
 
-    /// Bytes that the primary writes in a second, from the samples.
-    [[nodiscard]] auto bytes_per_second() const -> double;
+    /// Time at which the primary was likely at `position`, between two
+    /// samples by proportion; no value before the first and after the last.
+    [[nodiscard]] auto likely_time(log_position position) const
+        -> std::optional<time_point>;
+
+    /// How long a replica that was at `replayed` at `asked_at` likely needs to
+    /// replay what the primary writes.
+    [[nodiscard]] auto likely_lag(time_point asked_at,
+                                  log_position replayed) const -> duration;
+
+    /// How far the data at `replayed` is behind the newest sample. In contrast
+    /// to `age` it does not grow while the primary is not heard.
+    [[nodiscard]] auto behind_newest(log_position replayed) const -> duration;
 
 private:
+    /// First sample above `position`.
+    [[nodiscard]] auto above(log_position position) const
+        -> std::deque<primary_sample>::const_iterator;
+
     std::deque<primary_sample> samples_;
 };
 
--- a/include/rhubarbrun/coordination/replica_choice.hpp
+++ b/include/rhubarbrun/coordination/replica_choice.hpp
@@ -5,6 +5,7 @@
 #include <rhubarbrun/state/ids.hpp>
 #include <rhubarbrun/state/units.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -119,12 +120,21 @@
     struct replica
     {
         replica_report report;
+        /// Reads sent by this proxy and not yet answered.
         std::uint32_t outstanding = 0;
+        /// Reads sent since `report.load` was measured.
+        std::uint32_t sent_since = 0;
         bool is_excluded = false;
         std::optional<time_point> good_since;
     };
 
     auto update_exclusion(time_point now, replica& entry) -> void;
+    [[nodiscard]] auto is_usable(time_point now, const replica& entry) const
+        -> bool;
+    [[nodiscard]] auto wait_for_floor(time_point now,
+                                      const read_requirements& requirements)
+        -> read_route;
+    auto note_sent(const target_id& target) -> void;
     [[nodiscard]] auto expected_wait(time_point now,
                                      const read_requirements& requirements,
                                      const replica& entry) const
--- /dev/null
+++ b/src/coordination/admission.cpp
@@ -0,0 +1,309 @@
+#include <rhubarbrun/coordination/admission.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Look-ups that are known to be long are served as reports.
+auto class_index(const admission_request& request) noexcept -> std::size_t
+{
+    const auto is_long =
+        request.estimate.length == statement_length::long_running;
+    const auto priority = request.priority == work_class::lookup && is_long
+                              ? work_class::report
+                              : request.priority;
+    return static_cast<std::size_t>(priority);
+}
+
+/// Latest time at which the statement must start to be answered in time.
+/// A wrong estimate must not keep a statement from ever running and thus from
+/// being measured again, so at most half of the time left is set aside.
+auto latest_start(time_point now, const admission_request& request)
+    -> time_point
+{
+    const auto time_left = std::max(request.deadline - now, duration{});
+    return request.deadline -
+           std::min(request.estimate.expected, time_left / 2);
+}
+
+} // namespace
+
+admission_queue::admission_queue(admission_limits limits,
+                                 admission_options options)
+    : limits_(limits), options_(std::move(options))
+{
+}
+
+auto admission_queue::offer(time_point now, admission_request request)
+    -> admission_result
+{
+    mark_overruns(now);
+    refuse_late(now);
+    auto statement = waiting_statement{};
+    statement.index = class_index(request);
+    statement.order = ++arrivals_;
+    statement.since = now;
+    statement.latest_start = latest_start(now, request);
+    statement.request = std::move(request);
+    statement.estimated_wait = expected_wait(now, statement);
+    if (auto error = refusal(now, statement)) {
+        ++refused_count_;
+        return *std::move(error);
+    }
+    const auto ticket = statement.request.ticket;
+    enqueue(std::move(statement));
+    const auto next = pick();
+    if (next && at(*next).request.ticket == ticket) {
+        start_at(now, *next);
+        return admitted_now{};
+    }
+    return queued{};
+}
+
+auto admission_queue::start_next(time_point now)
+    -> std::optional<admission_ticket>
+{
+    mark_overruns(now);
+    refuse_late(now);
+    const auto next = pick();
+    if (!next) {
+        return std::nullopt;
+    }
+    return start_at(now, *next);
+}
+
+auto admission_queue::start_at(time_point now, const place& where)
+    -> admission_ticket
+{
+    note_service(where);
+    auto statement = take(where);
+    learn_wait(now, statement);
+    auto& request = statement.request;
+    auto running = running_statement{};
+    running.index = statement.index;
+    running.caller = std::move(request.caller);
+    running.database = std::move(request.database);
+    running.started = now;
+    running.charged = request.estimate.expected;
+    running.length = request.estimate.length;
+    running.pin = request.pin;
+    running.holds_connection = !request.pin;
+    running.counts_for_caller = !request.pin;
+    running.opens_transaction = request.opens_transaction && !request.pin;
+    if (running.pin) {
+        transactions_[*running.pin] = true;
+    } else {
+        ++single_connections_;
+        opening_transactions_ += running.opens_transaction ? 1U : 0U;
+        auto& database = classes_.at(running.index).databases[running.database];
+        ++database.running;
+        ++database.callers[running.caller].running;
+    }
+    count_length(running.length, 1);
+    charge(running, running.charged);
+    ++started_count_;
+    running_.emplace(request.ticket, std::move(running));
+    return request.ticket;
+}
+
+auto admission_queue::on_finished(time_point now, admission_ticket ticket,
+                                  duration measured) -> void
+{
+    mark_overruns(now);
+    const auto found = running_.find(ticket);
+    if (found == running_.end()) {
+        return;
+    }
+    const auto statement = std::move(found->second);
+    running_.erase(found);
+    count_length(statement.length, -1);
+    charge(statement, measured - statement.charged);
+    on_left_slot(statement);
+}
+
+auto admission_queue::on_left_slot(const running_statement& statement) -> void
+{
+    if (statement.holds_connection) {
+        --single_connections_;
+        opening_transactions_ -= statement.opens_transaction ? 1U : 0U;
+    } else if (statement.pin) {
+        const auto transaction = transactions_.find(*statement.pin);
+        if (transaction != transactions_.end()) {
+            transaction->second = false;
+        }
+    }
+    if (!statement.counts_for_caller) {
+        return;
+    }
+    auto& group = classes_.at(statement.index);
+    auto& database = group.databases.at(statement.database);
+    --database.running;
+    --database.callers.at(statement.caller).running;
+    drop_unused(group, statement.database, statement.caller);
+}
+
+auto admission_queue::on_transaction_opened(admission_ticket ticket, pin_id pin)
+    -> void
+{
+    const auto found = running_.find(ticket);
+    if (found == running_.end() || !found->second.holds_connection) {
+        return;
+    }
+    auto& statement = found->second;
+    statement.holds_connection = false;
+    statement.pin = pin;
+    --single_connections_;
+    opening_transactions_ -= statement.opens_transaction ? 1U : 0U;
+    transactions_.emplace(pin, true);
+}
+
+auto admission_queue::on_transaction_closed(pin_id pin) -> void
+{
+    const auto transaction = transactions_.find(pin);
+    if (transaction == transactions_.end()) {
+        return;
+    }
+    const auto is_running = transaction->second;
+    transactions_.erase(transaction);
+    if (is_running) {
+        // The connection stays in use until the statement has finished.
+        for (auto& [ticket, statement] : running_) {
+            if (statement.pin == pin) {
+                statement.pin.reset();
+                statement.holds_connection = true;
+                statement.opens_transaction = false;
+                ++single_connections_;
+            }
+        }
+    }
+    for (const auto& statement :
+         take_if([pin](const auto& each) { return each.request.pin == pin; }))
+    {
+        ++refused_count_;
+        refused_.push_back({statement.request.ticket,
+                            make_error(sqlstate::cannot_connect_now,
+                                       "the transaction has ended", {})});
+    }
+}
+
+auto admission_queue::cancel(admission_ticket ticket) -> bool
+{
+    return !take_if([ticket](const auto& each) {
+                return each.request.ticket == ticket;
+            }).empty();
+}
+
+auto admission_queue::expire(time_point now) -> std::vector<refused_statement>
+{
+    mark_overruns(now);
+    refuse_late(now);
+    return std::exchange(refused_, {});
+}
+
+auto admission_queue::next_deadline() const -> std::optional<time_point>
+{
+    if (earliest_refusal_ == time_point::max()) {
+        return std::nullopt;
+    }
+    return earliest_refusal_;
+}
+
+auto admission_queue::set_limits(admission_limits limits) -> void
+{
+    limits_ = limits;
+}
+
+auto admission_queue::stop_admitting() -> void
+{
+    is_admitting_ = false;
+}
+
+auto admission_queue::refuse_waiting(request_error error) -> void
+{
+    error.outcome = verdict::not_run;
+    for (const auto& statement : take_if([](const auto&) { return true; })) {
+        ++refused_count_;
+        refused_.push_back({statement.request.ticket, error});
+    }
+}
+
+auto admission_queue::refuse_late(time_point now) -> void
+{
+    if (!options_.use_deadlines || now <= earliest_refusal_) {
+        return;
+    }
+    const auto late =
+        take_if([now](const auto& each) { return each.latest_start < now; });
+    earliest_refusal_ = time_point::max();
+    for (auto& group : classes_) {
+        for (const auto& each : group.pinned) {
+            earliest_refusal_ = std::min(earliest_refusal_, each.latest_start);
+        }
+        for (const auto& [name, database] : group.databases) {
+            for (const auto& [key, caller] : database.callers) {
+                for (const auto& each : caller.waiting) {
+                    earliest_refusal_ =
+                        std::min(earliest_refusal_, each.latest_start);
+                }
+            }
+        }
+    }
+    if (options_.fault == admission_fault::forget_expired) {
+        return;
+    }
+    for (const auto& statement : late) {
+        learn_wait(now, statement);
+        ++refused_count_;
+        refused_.push_back(
+            {statement.request.ticket,
+             make_error(sqlstate::too_many_connections,
+                        "the deadline passed in the queue of the target",
+                        now - statement.since)});
+    }
+}
+
+auto admission_queue::mark_overruns(time_point now) -> void
+{
+    for (auto& [ticket, statement] : running_) {
+        if (statement.length != statement_length::long_running &&
+            now - statement.started > options_.short_bound)
+        {
+            count_length(statement.length, -1);
+            statement.length = statement_length::long_running;
+            count_length(statement.length, 1);
+        }
+    }
+}
+
+auto admission_queue::load() const noexcept -> std::uint32_t
+{
+    auto count = running_.size();
+    for (const auto& group : classes_) {
+        count += group.waiting;
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+auto admission_queue::snapshot() const -> admission_snapshot
+{
+    auto result = admission_snapshot{};
+    result.usable_slots = usable_slots();
+    result.usable_connections = usable_connections();
+    result.running = static_cast<std::uint32_t>(running_.size());
+    result.running_long = running_long_;
+    result.connections_in_use = connections_in_use();
+    result.open_transactions = static_cast<std::uint32_t>(transactions_.size());
+    for (auto index = std::size_t{0}; index < classes_.size(); ++index) {
+        result.waiting.at(index) = classes_.at(index).waiting;
+        result.expected_work.at(index) = classes_.at(index).work;
+    }
+    result.started = started_count_;
+    result.refused = refused_count_;
+    result.is_admitting = is_admitting_;
+    return result;
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/connection_budget.cpp
@@ -0,0 +1,111 @@
+#include <rhubarbrun/coordination/connection_budget.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// One connection in eight, but enough to fill all slots.
+constexpr auto kept_back_divisor = 8U;
+constexpr auto most_doublings = 16U;
+
+} // namespace
+
+auto kept_back_connections(std::uint32_t limit, std::uint32_t slots) noexcept
+    -> std::uint32_t
+{
+    // At most half, so that a target with few connections can be used at all.
+    return std::min(std::max(limit / kept_back_divisor, slots), limit / 2);
+}
+
+connection_budget::connection_budget(connection_budget_options options)
+    : options_(std::move(options))
+{
+}
+
+auto connection_budget::usable(std::uint32_t foreign_connections) const noexcept
+    -> std::uint32_t
+{
+    const auto kept_back =
+        kept_back_connections(options_.limit, options_.slots);
+    const auto taken = std::max(kept_back, foreign_connections);
+    return options_.limit - std::min(options_.limit, taken);
+}
+
+auto connection_budget::note_need(time_point now, std::uint32_t need) -> void
+{
+    if (now - peak_since_ >= options_.idle_time) {
+        previous_peak_ = std::exchange(peak_, 0);
+        peak_since_ = now;
+    }
+    peak_ = std::max(peak_, need);
+}
+
+auto connection_budget::plan(time_point now, const connection_use& use)
+    -> connection_plan
+{
+    last_plan_ = now;
+    note_need(now, use.in_use + use.waiting);
+    const auto most = usable(use.foreign);
+    // One more round of statements can start while a connection is opened.
+    const auto wanted =
+        std::min(std::max(peak_, previous_peak_) + options_.slots, most);
+    const auto held = use.open + use.opening;
+    auto result = connection_plan{};
+    if (held > wanted) {
+        const auto idle = use.open - std::min(use.open, use.in_use);
+        result.close_idle = std::min(held - wanted, idle);
+        return result;
+    }
+    const auto at_once = is_proven_ ? options_.opens_at_once : 1U;
+    if (now >= not_before_ && use.opening < at_once) {
+        result.open = std::min(wanted - held, at_once - use.opening);
+    }
+    return result;
+}
+
+auto connection_budget::spread(duration base) const -> duration
+{
+    if (!options_.random || base <= duration{}) {
+        return duration{};
+    }
+    return duration(static_cast<duration::rep>(
+        options_.random() % static_cast<std::uint64_t>(base.count())));
+}
+
+auto connection_budget::on_opened(time_point now) -> void
+{
+    is_proven_ = true;
+    failures_ = 0;
+    not_before_ = now;
+}
+
+auto connection_budget::on_open_failed(time_point now) -> void
+{
+    is_proven_ = false;
+    const auto doublings = std::min(failures_, most_doublings);
+    const auto base = std::min(options_.first_wait * (1U << doublings),
+                               options_.longest_wait);
+    ++failures_;
+    not_before_ = now + base + spread(base);
+}
+
+auto connection_budget::on_lost(time_point now) -> void
+{
+    if (!is_proven_) {
+        return;
+    }
+    is_proven_ = false;
+    not_before_ = now + spread(options_.first_wait);
+}
+
+auto connection_budget::next_time() const noexcept -> time_point
+{
+    const auto period_end = peak_since_ + options_.idle_time;
+    return not_before_ > last_plan_ ? std::min(not_before_, period_end)
+                                    : period_end;
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/replica_choice.cpp
@@ -0,0 +1,225 @@
+#include <rhubarbrun/coordination/replica_choice.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Replicas whose distance differs by less are equally near; delays within a
+/// region vary by about this much.
+constexpr auto same_distance = duration(std::chrono::milliseconds(2));
+
+/// A nearer replica is left for a farther one when it has more than this many
+/// statements per slot; with fewer, waiting costs less than the distance.
+constexpr auto acceptable_load_per_slot = 2U;
+
+/// Added to the estimated wait, which is below the truth half of the time.
+constexpr auto wait_margin = duration(std::chrono::milliseconds(5));
+
+/// Candidates of the nearest distance that is not overloaded, or all.
+auto nearest_acceptable(const std::vector<replica_candidate>& candidates)
+    -> std::vector<std::size_t>
+{
+    auto nearest = duration::max();
+    for (const auto& each : candidates) {
+        if (each.load < acceptable_load_per_slot * each.slots) {
+            nearest = std::min(nearest, each.distance);
+        }
+    }
+    auto result = std::vector<std::size_t>{};
+    for (auto index = std::size_t{0}; index < candidates.size(); ++index) {
+        const auto& each = candidates.at(index);
+        if (nearest == duration::max() ||
+            each.distance - nearest < same_distance) {
+            result.push_back(index);
+        }
+    }
+    return result;
+}
+
+auto is_less_loaded(const replica_candidate& left,
+                    const replica_candidate& right) -> bool
+{
+    return std::uint64_t{left.load} * right.slots <
+           std::uint64_t{right.load} * left.slots;
+}
+
+} // namespace
+
+auto select_replica(const std::vector<replica_candidate>& candidates,
+                    const random_function& random) -> std::size_t
+{
+    const auto near = nearest_acceptable(candidates);
+    const auto draw = [&] {
+        return random ? near.at(random() % near.size()) : near.front();
+    };
+    const auto first = draw();
+    const auto second = draw();
+    return is_less_loaded(candidates.at(second), candidates.at(first)) ? second
+                                                                       : first;
+}
+
+replica_choice::replica_choice(replica_choice_options options)
+    : options_(std::move(options))
+{
+    if (!options_.selector) {
+        options_.selector = select_replica;
+    }
+}
+
+auto replica_choice::on_primary_position(time_point asked_at,
+                                         log_position position) -> void
+{
+    history_.add(asked_at, position);
+}
+
+auto replica_choice::on_report(time_point now, replica_report report) -> void
+{
+    auto& entry = replicas_[report.target];
+    entry.report = std::move(report);
+    entry.sent_since = 0;
+    update_exclusion(now, entry);
+}
+
+auto replica_choice::update_exclusion(time_point now, replica& entry) -> void
+{
+    const auto behind = history_.behind_newest(entry.report.replayed);
+    if (behind > options_.excluded_above) {
+        entry.is_excluded = true;
+    }
+    if (!entry.is_excluded) {
+        return;
+    }
+    if (behind >= options_.readmitted_below) {
+        entry.good_since.reset();
+        return;
+    }
+    if (!entry.good_since) {
+        entry.good_since = now;
+    }
+    if (now - *entry.good_since >= options_.readmitted_after) {
+        entry.is_excluded = false;
+        entry.good_since.reset();
+    }
+}
+
+auto replica_choice::on_removed(const target_id& target) -> void
+{
+    replicas_.erase(target);
+}
+
+auto replica_choice::is_usable(time_point now, const replica& entry) const
+    -> bool
+{
+    return !entry.is_excluded &&
+           now - entry.report.replayed_at <= options_.report_lifetime;
+}
+
+auto replica_choice::choose(time_point now,
+                            const read_requirements& requirements) -> read_route
+{
+    auto candidates = std::vector<replica_candidate>{};
+    for (const auto& [target, entry] : replicas_) {
+        if (is_usable(now, entry) &&
+            check_read(now, requirements, history_, entry.report.replayed) ==
+                read_fitness::fit)
+        {
+            const auto load = std::max(entry.report.load + entry.sent_since,
+                                       entry.outstanding);
+            candidates.push_back({target, entry.report.distance,
+                                  std::max(entry.report.slots, 1U), load});
+        }
+    }
+    if (candidates.empty()) {
+        return wait_for_floor(now, requirements);
+    }
+    const auto index = options_.selector(candidates, options_.random);
+    const auto& target = candidates.at(index).target;
+    note_sent(target);
+    return {read_target::replica, target, {}};
+}
+
+auto replica_choice::wait_for_floor(time_point now,
+                                    const read_requirements& requirements)
+    -> read_route
+{
+    auto best = read_route{read_target::primary, std::nullopt, {}};
+    for (const auto& [target, entry] : replicas_) {
+        if (!is_usable(now, entry)) {
+            continue;
+        }
+        const auto wait = expected_wait(now, requirements, entry);
+        if (wait && (!best.target || *wait < best.wait)) {
+            best = {read_target::replica_after_wait, target, *wait};
+        }
+    }
+    if (best.target) {
+        note_sent(*best.target);
+    }
+    return best;
+}
+
+auto replica_choice::expected_wait(time_point now,
+                                   const read_requirements& requirements,
+                                   const replica& entry) const
+    -> std::optional<duration>
+{
+    const auto fitness =
+        check_read(now, requirements, history_, entry.report.replayed);
+    if (fitness != read_fitness::behind_floor) {
+        return std::nullopt;
+    }
+    if (requirements.max_age > duration{} &&
+        now - entry.report.replayed_at > requirements.max_age)
+    {
+        return std::nullopt;
+    }
+    // The replica replays the floor about one lag after it was written. A
+    // floor above all samples was written just now.
+    const auto lag =
+        history_.likely_lag(entry.report.replayed_at, entry.report.replayed);
+    const auto written =
+        history_.likely_time(*requirements.floor).value_or(now);
+    const auto wait = std::max(written + lag - now, duration{}) + wait_margin;
+    if (wait > options_.longest_wait || now + wait >= requirements.deadline) {
+        return std::nullopt;
+    }
+    return wait;
+}
+
+auto replica_choice::note_sent(const target_id& target) -> void
+{
+    auto& entry = replicas_.at(target);
+    ++entry.outstanding;
+    ++entry.sent_since;
+}
+
+auto replica_choice::on_answered(const target_id& target, std::uint32_t load)
+    -> void
+{
+    const auto found = replicas_.find(target);
+    if (found == replicas_.end()) {
+        return;
+    }
+    found->second.report.load = load;
+    found->second.sent_since = 0;
+    on_failed(target);
+}
+
+auto replica_choice::on_failed(const target_id& target) -> void
+{
+    const auto found = replicas_.find(target);
+    if (found != replicas_.end() && found->second.outstanding > 0) {
+        --found->second.outstanding;
+    }
+}
+
+auto replica_choice::is_excluded(const target_id& target) const -> bool
+{
+    const auto found = replicas_.find(target);
+    return found != replicas_.end() && found->second.is_excluded;
+}
+
+} // namespace rhubarbrun::inline v1
