coordination: test the data path beyond admission

Change: scripted tests of each rule, and random events for pending requests against a record of every send, with planted faults for a second send, a late answer and a false verdict. A token error for a missing field now points at the end of the text. primary_history turns an accepted age into a position.

--- a/include/rhubarbrun/coordination/read_policy.hpp
+++ b/include/rhubarbrun/coordination/read_policy.hpp
@@ -50,6 +50,11 @@
     [[nodiscard]] auto age(time_point now, log_position replayed) const
         -> std::optional<duration>;
 
+    /// Position that data must hold to be at most `max_age` old; no value if
+    /// no sample is that new.
+    [[nodiscard]] auto floor_for_age(time_point now, duration max_age) const
+        -> std::optional<log_position>;
+
     [[nodiscard]] auto newest() const -> std::optional<primary_sample>;
 
     /// Time at which the primary was likely at `position`, between two
--- a/src/coordination/read_policy.cpp
+++ b/src/coordination/read_policy.cpp
@@ -45,6 +45,18 @@
     return now - std::prev(next)->at;
 }
 
+auto primary_history::floor_for_age(time_point now, duration max_age) const
+    -> std::optional<log_position>
+{
+    const auto found = std::lower_bound(
+        samples_.begin(), samples_.end(), now - max_age,
+        [](const auto& sample, time_point at) { return sample.at < at; });
+    if (found == samples_.end()) {
+        return std::nullopt;
+    }
+    return found->position;
+}
+
 auto primary_history::newest() const -> std::optional<primary_sample>
 {
     if (samples_.empty()) {
--- a/src/state/session_token.cpp
+++ b/src/state/session_token.cpp
@@ -82,6 +82,7 @@
             return "the token has too many groups";
         }
         if (next_ > text_.size()) {
+            start_ = text_.size();
             return "the term is missing";
         }
         const auto group_term = parse_term(take_field(field_separator));
@@ -89,6 +90,7 @@
             return "the term is not a decimal number";
         }
         if (next_ > text_.size()) {
+            start_ = text_.size();
             return "the offset is missing";
         }
         const auto field = take_field(item_separator);
--- /dev/null
+++ b/tests/coordination/pending_requests_test.cpp
@@ -0,0 +1,348 @@
+#include "property_check.hpp"
+
+#include <rhubarbrun/coordination/pending_requests.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace rhubarbrun;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto start = time_point(1h);
+const auto alice = session_id(1);
+
+auto request(std::uint64_t id, bool is_idempotent = false) -> pending_request
+{
+    return {request_id(id), alice, start + 1s, is_idempotent};
+}
+
+auto sent(pending_requests& pending, std::uint64_t id, std::uint64_t link)
+    -> bool
+{
+    return pending.try_send(start, request_id(id), link_id(link)) ==
+           send_permission::granted;
+}
+
+struct step
+{
+    int kind = 0;
+    std::uint32_t first = 0;
+    std::uint32_t second = 0;
+};
+
+auto operator<<(std::ostream& out, const step& value) -> std::ostream&
+{
+    return out << value.kind << '/' << value.first << '/' << value.second;
+}
+
+/// What truly happened to one request, as an observer of all links sees it.
+struct true_fate
+{
+    pending_request request;
+    std::optional<link_id> link;
+    /// Sends that no answer has taken back.
+    int unresolved_sends = 0;
+    bool has_ended = false;
+};
+
+/// Runs the table next to a plain record of sends and endings.
+class pending_model
+{
+public:
+    explicit pending_model(pending_fault fault) : pending_(fault) {}
+
+    auto apply(const step& each) -> void
+    {
+        const auto link = link_id(each.second % 3);
+        switch (each.kind) {
+        case 0:
+        case 1:
+            add(each.first, each.second);
+            break;
+        case 2:
+        case 3:
+            send(each.first, link);
+            break;
+        case 4:
+            answer(each.first, link);
+            break;
+        case 5:
+            answer_not_run(each.first, link);
+            break;
+        case 6:
+            lose(link);
+            break;
+        case 7:
+            give_up(each.first);
+            break;
+        case 8:
+            now_ += std::chrono::milliseconds(each.first);
+            end_all(pending_.expire(now_));
+            break;
+        default:
+            close(session_id(each.second % 5));
+        }
+    }
+
+    auto finish_all() -> void
+    {
+        now_ += 1h;
+        end_all(pending_.expire(now_));
+        for (const auto& [id, fate] : fates_) {
+            RC_ASSERT(fate.has_ended);
+        }
+        RC_ASSERT(pending_.size() == 0U);
+    }
+
+private:
+    auto pick(std::uint32_t index) -> true_fate*
+    {
+        if (fates_.empty()) {
+            return nullptr;
+        }
+        return &std::next(fates_.begin(), index % fates_.size())->second;
+    }
+
+    auto add(std::uint32_t first, std::uint32_t second) -> void
+    {
+        const auto id = request_id(fates_.size() + 1);
+        const auto each = pending_request{
+            id, session_id(second % 5),
+            now_ + std::chrono::milliseconds(1 + first), first % 2 == 0};
+        RC_ASSERT(pending_.add(each));
+        RC_ASSERT(!pending_.add(each));
+        fates_.emplace(id, true_fate{each, {}, 0, false});
+    }
+
+    auto send(std::uint32_t index, link_id link) -> void
+    {
+        auto* const fate = pick(index);
+        if (fate == nullptr ||
+            pending_.try_send(now_, fate->request.id, link) !=
+                send_permission::granted)
+        {
+            return;
+        }
+        RC_ASSERT(!fate->has_ended);
+        RC_ASSERT(now_ < fate->request.deadline);
+        RC_ASSERT(fate->request.is_idempotent || fate->unresolved_sends == 0);
+        ++fate->unresolved_sends;
+        fate->link = link;
+    }
+
+    auto answer(std::uint32_t index, link_id link) -> void
+    {
+        auto* const fate = pick(index);
+        if (fate == nullptr) {
+            return;
+        }
+        const auto receiver = pending_.on_answer(fate->request.id, link);
+        const auto is_due = !fate->has_ended && fate->link == link;
+        RC_ASSERT(receiver.has_value() == is_due);
+        if (receiver) {
+            RC_ASSERT(*receiver == fate->request.session);
+            fate->has_ended = true;
+        }
+    }
+
+    auto answer_not_run(std::uint32_t index, link_id link) -> void
+    {
+        auto* const fate = pick(index);
+        if (fate == nullptr) {
+            return;
+        }
+        const auto is_due = !fate->has_ended && fate->link == link;
+        RC_ASSERT(pending_.on_not_run(fate->request.id, link) == is_due);
+        if (is_due) {
+            --fate->unresolved_sends;
+            fate->link.reset();
+        }
+    }
+
+    auto lose(link_id link) -> void
+    {
+        const auto loss = pending_.on_link_lost(now_, link);
+        for (const auto id : loss.retries) {
+            auto& fate = fates_.at(id);
+            RC_ASSERT(fate.link == link);
+            fate.link.reset();
+        }
+        end_all(loss.endings);
+        for (const auto& [id, fate] : fates_) {
+            RC_ASSERT(fate.has_ended || fate.link != link);
+        }
+    }
+
+    auto give_up(std::uint32_t index) -> void
+    {
+        auto* const fate = pick(index);
+        if (fate == nullptr) {
+            return;
+        }
+        const auto ending = pending_.give_up(
+            fate->request.id, {verdict::not_run, "57P03", "no owner", {}});
+        RC_ASSERT(ending.has_value() == (!fate->has_ended && !fate->link));
+        if (ending) {
+            end_all({*ending});
+        }
+    }
+
+    auto close(session_id session) -> void
+    {
+        for (const auto& [id, link] : pending_.on_session_closed(session)) {
+            auto& fate = fates_.at(id);
+            RC_ASSERT(!fate.has_ended);
+            RC_ASSERT(fate.request.session == session);
+            RC_ASSERT(fate.link == link);
+            fate.has_ended = true;
+        }
+    }
+
+    auto end_all(const std::vector<request_ending>& endings) -> void
+    {
+        for (const auto& ending : endings) {
+            auto& fate = fates_.at(ending.id);
+            RC_ASSERT(!fate.has_ended);
+            RC_ASSERT(ending.session == fate.request.session);
+            const auto expected = fate.unresolved_sends > 0
+                                      ? verdict::may_have_run
+                                      : verdict::not_run;
+            RC_ASSERT(ending.error.outcome == expected);
+            fate.has_ended = true;
+        }
+    }
+
+    pending_requests pending_;
+    time_point now_ = start;
+    std::map<request_id, true_fate> fates_;
+};
+
+auto failure_with(pending_fault fault) -> std::string
+{
+    return tests::find_failure([fault] {
+        const auto steps =
+            *rc::gen::container<std::vector<step>>(rc::gen::build<step>(
+                rc::gen::set(&step::kind, rc::gen::inRange(0, 10)),
+                rc::gen::set(&step::first, rc::gen::inRange(0U, 1000U)),
+                rc::gen::set(&step::second, rc::gen::inRange(0U, 1000U))));
+        auto model = pending_model(fault);
+        for (const auto& each : steps) {
+            model.apply(each);
+        }
+        model.finish_all();
+    });
+}
+
+} // namespace
+
+TEST_CASE("an answer reaches only the session that waits for it, once")
+{
+    auto pending = pending_requests();
+    REQUIRE(pending.add(request(1)));
+    CHECK_FALSE(pending.on_answer(request_id(1), link_id(1)));
+    REQUIRE(sent(pending, 1, 1));
+    CHECK_FALSE(pending.on_answer(request_id(2), link_id(1)));
+    CHECK_FALSE(pending.on_answer(request_id(1), link_id(2)));
+    CHECK(pending.on_answer(request_id(1), link_id(1)) == alice);
+    CHECK_FALSE(pending.on_answer(request_id(1), link_id(1)));
+}
+
+TEST_CASE("an answer after the deadline reaches nobody")
+{
+    auto pending = pending_requests();
+    REQUIRE(pending.add(request(1)));
+    REQUIRE(sent(pending, 1, 1));
+    CHECK(pending.next_deadline() == start + 1s);
+    const auto endings = pending.expire(start + 1s);
+    REQUIRE(endings.size() == 1);
+    CHECK(endings.front().error.outcome == verdict::may_have_run);
+    CHECK(endings.front().error.code ==
+          sqlstate::transaction_resolution_unknown);
+    CHECK_FALSE(pending.on_answer(request_id(1), link_id(1)));
+}
+
+TEST_CASE("a lost link ends sent writes as may-have-run and no others")
+{
+    auto pending = pending_requests();
+    for (auto id = std::uint64_t{1}; id <= 3; ++id) {
+        REQUIRE(pending.add(request(id)));
+    }
+    REQUIRE(sent(pending, 1, 1));
+    REQUIRE(sent(pending, 2, 2));
+    const auto loss = pending.on_link_lost(start, link_id(1));
+    CHECK(loss.retries.empty());
+    REQUIRE(loss.endings.size() == 1);
+    CHECK(loss.endings.front().id == request_id(1));
+    CHECK(loss.endings.front().error.outcome == verdict::may_have_run);
+    CHECK_FALSE(sent(pending, 1, 2));
+    const auto ending = pending.give_up(request_id(3), {});
+    REQUIRE(ending);
+    CHECK(ending->error.outcome == verdict::not_run);
+}
+
+TEST_CASE("a write is sent again only if its owner says that it did not run")
+{
+    auto pending = pending_requests();
+    REQUIRE(pending.add(request(1)));
+    REQUIRE(sent(pending, 1, 1));
+    CHECK_FALSE(sent(pending, 1, 2));
+    CHECK_FALSE(pending.on_not_run(request_id(1), link_id(2)));
+    CHECK(pending.on_not_run(request_id(1), link_id(1)));
+    CHECK(sent(pending, 1, 2));
+}
+
+TEST_CASE("an idempotent request is retried within deadline and budget")
+{
+    auto pending = pending_requests();
+    auto granted = 0;
+    for (auto id = std::uint64_t{1}; id <= 100; ++id) {
+        REQUIRE(pending.add(request(id, true)));
+        REQUIRE(sent(pending, id, 1));
+    }
+    CHECK(pending.on_link_lost(start, link_id(1)).retries.size() == 100);
+    for (auto id = std::uint64_t{1}; id <= 100; ++id) {
+        granted += sent(pending, id, 2) ? 1 : 0;
+    }
+    CHECK(granted == retry_budget::most_retries_saved);
+    CHECK(pending.try_send(start, request_id(100), link_id(2)) ==
+          send_permission::no_budget);
+    CHECK(pending.try_send(start + 1s, request_id(100), link_id(2)) ==
+          send_permission::past_deadline);
+    // The first attempt may have run, so giving up must say so.
+    CHECK(pending.give_up(request_id(100), {})->error.outcome ==
+          verdict::may_have_run);
+}
+
+TEST_CASE("a closed session gets no answer and its requests are cancelled")
+{
+    auto pending = pending_requests();
+    REQUIRE(pending.add(request(1)));
+    REQUIRE(pending.add(request(2)));
+    REQUIRE(sent(pending, 1, 1));
+    CHECK(pending.on_session_closed(alice).size() == 2);
+    CHECK_FALSE(pending.on_answer(request_id(1), link_id(1)));
+    CHECK(pending.expire(start + 1s).empty());
+}
+
+TEST_CASE("random events give one true verdict and one send per write")
+{
+    CHECK(failure_with(pending_fault::none) == "");
+}
+
+TEST_CASE("the model sees a write that is sent twice")
+{
+    CHECK(failure_with(pending_fault::resend_non_idempotent) != "");
+}
+
+TEST_CASE("the model sees a late answer that reaches a session")
+{
+    CHECK(failure_with(pending_fault::accept_late_answer) != "");
+}
+
+TEST_CASE("the model sees a false claim that a request did not run")
+{
+    CHECK(failure_with(pending_fault::claim_not_run) != "");
+}
--- /dev/null
+++ b/tests/coordination/replica_choice_test.cpp
@@ -0,0 +1,198 @@
+#include <rhubarbrun/coordination/replica_choice.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+
+using namespace rhubarbrun;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto start = time_point(1h);
+const auto near_one = target_id("near-1");
+const auto near_two = target_id("near-2");
+const auto far = target_id("far");
+
+auto at(std::uint64_t offset, std::uint64_t group_term = 1) -> log_position
+{
+    return {term(group_term), log_offset(offset)};
+}
+
+auto report(const target_id& target, log_position replayed, time_point when,
+            std::uint32_t load = 0, duration distance = 0ms) -> replica_report
+{
+    return {target, zone_id("a"), distance, 3, replayed, when, load};
+}
+
+/// A primary that writes 1,000 bytes a second, sampled each 100 ms.
+auto make_choice(std::mt19937_64& random) -> replica_choice
+{
+    auto options = replica_choice_options{};
+    options.random = [&random] {
+        return random();
+    };
+    auto choice = replica_choice(options);
+    for (auto sample = 0; sample <= 100; ++sample) {
+        choice.on_primary_position(
+            start + (sample * 100ms),
+            at(static_cast<std::uint64_t>(sample) * 100));
+    }
+    return choice;
+}
+
+const auto now = start + 10s;
+
+auto read(std::optional<log_position> floor = std::nullopt,
+          duration max_age = 0ms) -> read_requirements
+{
+    return {floor, max_age, now + 1s};
+}
+
+} // namespace
+
+TEST_CASE("the age of a replica's data follows from the primary's history")
+{
+    auto history = primary_history{};
+    history.add(start, at(100));
+    history.add(start + 1s, at(200));
+    history.add(start + 2s, at(200));
+    CHECK(history.age(start + 3s, at(150)) == 3s);
+    CHECK(history.age(start + 3s, at(200)) == 1s);
+    CHECK_FALSE(history.age(start + 3s, at(99)).has_value());
+    CHECK(history.floor_for_age(start + 3s, 2500ms) == at(200));
+    CHECK_FALSE(history.floor_for_age(start + 3s, 500ms).has_value());
+    // A new primary starts a new history above every old offset.
+    history.add(start + 3s, at(50, 2));
+    CHECK(history.age(start + 4s, at(300)) == 2s);
+    history.add(start + 2s, at(900));
+    CHECK(history.newest()->position == at(50, 2));
+}
+
+TEST_CASE("frequent samples keep a history instead of replacing each other")
+{
+    auto history = primary_history{};
+    for (auto sample = 0U; sample < 10'000; ++sample) {
+        history.add(start + (sample * 1ms), at(sample));
+    }
+    CHECK(history.age(start + 10s, at(5'000)) < 5'200ms);
+    CHECK(history.age(start + 10s, at(5'000)) >= 5s);
+}
+
+TEST_CASE("a read never goes to a replica that is behind its floor")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(5'000), now));
+    choice.on_report(now, report(near_two, at(10'000), now));
+    for (auto count = 0; count < 50; ++count) {
+        CHECK(choice.choose(now, read(at(9'000))).target == near_two);
+    }
+    CHECK(choice.choose(now, read(at(10'000, 2))).kind != read_target::replica);
+}
+
+TEST_CASE("a read never gets data older than it accepts")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(8'000), now));
+    CHECK(choice.choose(now, read({}, 3s)).target == near_one);
+    CHECK(choice.choose(now, read({}, 1s)).kind == read_target::primary);
+    // The same report supports less as time passes.
+    CHECK(choice.choose(now + 1500ms, read({}, 3s)).kind ==
+          read_target::primary);
+}
+
+TEST_CASE("a read waits for a replica that is about to reach its floor")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    // 20 bytes behind at 1,000 bytes a second: a lag of 20 ms.
+    choice.on_report(now, report(near_one, at(9'980), now));
+    const auto route = choice.choose(now, read(at(10'000)));
+    CHECK(route.kind == read_target::replica_after_wait);
+    CHECK(route.target == near_one);
+    CHECK(route.wait > 0ms);
+    CHECK(route.wait <= 50ms);
+    auto urgent = read(at(10'000));
+    urgent.deadline = now + 10ms;
+    CHECK(choice.choose(now, urgent).kind == read_target::primary);
+    choice.on_report(now, report(near_one, at(9'000), now));
+    CHECK(choice.choose(now, read(at(10'000))).kind == read_target::primary);
+}
+
+TEST_CASE("a replica far behind is left alone until it has stayed close")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(4'000), now));
+    CHECK(choice.is_excluded(near_one));
+    CHECK(choice.choose(now, read()).kind == read_target::primary);
+    // One good report is not enough: the replica may fall behind again.
+    choice.on_report(now, report(near_one, at(9'900), now));
+    CHECK(choice.is_excluded(near_one));
+    choice.on_report(now + 1s, report(near_one, at(7'000), now + 1s));
+    choice.on_report(now + 2s, report(near_one, at(9'900), now + 2s));
+    choice.on_report(now + 3s, report(near_one, at(9'900), now + 3s));
+    CHECK(choice.is_excluded(near_one));
+    choice.on_report(now + 4s, report(near_one, at(9'900), now + 4s));
+    CHECK_FALSE(choice.is_excluded(near_one));
+}
+
+TEST_CASE("replicas are not excluded because the primary is not heard")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now + 20s, report(near_one, at(10'000), now + 20s));
+    CHECK(choice.choose(now + 20s, read()).target == near_one);
+}
+
+TEST_CASE("a replica without fresh reports gets no reads")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(10'000), now));
+    CHECK(choice.choose(now + 4s, read()).kind == read_target::primary);
+    choice.on_removed(near_one);
+    CHECK(choice.choose(now, read()).kind == read_target::primary);
+}
+
+TEST_CASE("a near replica comes first unless it is overloaded")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(10'000), now, 2));
+    choice.on_report(now, report(far, at(10'000), now, 0, 20ms));
+    CHECK(choice.choose(now, read()).target == near_one);
+    choice.on_report(now, report(near_one, at(10'000), now, 30));
+    CHECK(choice.choose(now, read()).target == far);
+}
+
+TEST_CASE("proxies with the same reports do not all choose one replica")
+{
+    auto chosen = std::map<target_id, int>{};
+    for (auto proxy = 0U; proxy < 100; ++proxy) {
+        auto random = std::mt19937_64(proxy);
+        auto choice = make_choice(random);
+        choice.on_report(now, report(near_one, at(10'000), now, 1));
+        choice.on_report(now, report(near_two, at(10'000), now, 2));
+        ++chosen[*choice.choose(now, read()).target];
+    }
+    CHECK(chosen[near_one] > chosen[near_two]);
+    CHECK(chosen[near_two] >= 15);
+}
+
+TEST_CASE("own reads count as load before the next report")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(10'000), now, 0));
+    choice.on_report(now, report(near_two, at(10'000), now, 3));
+    auto chosen = std::map<target_id, int>{};
+    for (auto count = 0; count < 40; ++count) {
+        ++chosen[*choice.choose(now, read()).target];
+    }
+    CHECK(chosen[near_one] <= 30);
+    CHECK(chosen[near_two] >= 10);
+}
