--- a/include/rhubarbrun/protocol/caller_protocol.hpp
+++ b/include/rhubarbrun/protocol/caller_protocol.hpp
@@ -64,6 +64,8 @@
         authenticate;
     /// Whether a presented token is well formed; the default accepts all.
     std::function<bool(std::string_view)> is_valid_token;
+    /// Version that callers are told; decides on the dialect of some drivers.
+    std::string server_version = "15.0";
 };
 
 /// State machine of one caller connection; performs no I/O.
@@ -147,57 +149,82 @@
     {
         std::string text;
         std::vector<std::uint32_t> types;
+        std::size_t bytes = 0;
     };
     struct portal
     {
         statement body;
+        std::size_t bytes = 0;
     };
     struct running_request
     {
         answer_form form = answer_form::simple_query;
         transaction_step step = transaction_step::single;
-        access_mode mode = access_mode::unspecified;
+        bool is_read_only = false;
+        /// A lost connection ends the transaction as ROLLBACK does.
+        bool is_rollback = false;
         std::int16_t result_format = 0;
-        /// The text was replaced by ROLLBACK, as the transaction had failed.
-        bool is_forced_rollback = false;
     };
 
-    auto advance() -> void;
-    auto take_frame() -> bool;
-    auto pump_frames() -> void;
+    /// What became of a message.
+    enum class handling : std::uint8_t
+    {
+        done,
+        /// Emitted as a request, whose answer is awaited.
+        running,
+        /// Depends on messages that have not arrived yet.
+        wait_for_more,
+    };
+
+    auto advance() -> caller_events;
+    auto queue_frames() -> void;
+    auto end_if_drained() -> void;
     auto end_session(std::string reason) -> void;
-    auto fail_protocol(const std::string& message) -> void;
+    auto fail_protocol(std::string_view message) -> void;
 
-    auto on_startup(const std::string& body) -> void;
+    auto on_startup(std::string_view body) -> void;
     auto start_session(std::string_view body) -> void;
-    auto on_message(const pg_frame& frame) -> void;
-    auto on_query(const std::string& body) -> void;
-    auto on_parse(const std::string& body) -> void;
-    auto on_bind(const std::string& body) -> void;
-    auto on_describe(const std::string& body) -> void;
-    auto on_execute(const std::string& body) -> void;
-    auto on_close(const std::string& body) -> void;
+    auto set_at_start(const std::string& name, const std::string& value,
+                      session_start& start) -> bool;
+    auto refuse_start(std::string_view code, std::string_view message) -> void;
+
+    auto on_message(const pg_frame& frame) -> handling;
+    auto on_query(std::string_view body) -> handling;
+    auto on_parse(std::string_view body) -> void;
+    auto on_bind(std::string_view body) -> void;
+    auto on_describe(std::string_view body) -> handling;
+    auto on_execute(std::string_view body) -> handling;
+    auto on_close(std::string_view body) -> void;
     auto on_sync() -> void;
-    auto describe_local(const statement_info& info) -> void;
 
-    auto run_statements(std::string_view text,
-                        const std::vector<statement_info>& parts,
-                        statement body, answer_form form) -> void;
-    auto run_local(const statement_info& info, bool with_description) -> bool;
+    auto run(const std::vector<statement_info>& parts, statement body,
+             answer_form form) -> handling;
+    auto run_at_target(const std::vector<statement_info>& parts, statement body,
+                       answer_form form) -> handling;
+    auto run_in_lost_transaction(const std::vector<statement_info>& parts,
+                                 answer_form form) -> handling;
+    auto check_batch() -> std::optional<handling>;
+    auto emit(caller_request request, running_request running) -> handling;
+    auto emit_describe(statement body, answer_form form) -> handling;
+
+    [[nodiscard]] auto is_local(const statement_info& info,
+                                bool is_in_block) const -> bool;
+    auto run_local(const statement_info& info, answer_form form) -> bool;
     auto run_set(const statement_info& info) -> bool;
-    auto run_target_set(const statement_info& info) -> bool;
-    auto run_show(const statement_info& info, bool with_description) -> void;
-    auto run_failed_transaction(const std::vector<statement_info>& parts,
-                                answer_form form) -> bool;
-    auto emit(statement body, const std::vector<statement_info>& parts,
-              transaction_step step, answer_form form) -> void;
-    [[nodiscard]] auto is_read_only_now() const noexcept -> bool;
+    auto run_reset(const statement_info& info) -> bool;
+    auto run_show(const statement_info& info, answer_form form) -> bool;
+    auto run_deallocate(const statement_info& info) -> bool;
+    auto forget_statement(std::string_view name) -> void;
+    auto forget_portal(std::string_view name) -> void;
+    auto forget_portals() -> void;
+    [[nodiscard]] auto has_room(std::size_t bytes) const noexcept -> bool;
 
     auto append_answer(const execute_reply& reply) -> bool;
-    auto apply_status(const execute_reply& reply, bool has_error) -> void;
-    auto error(std::string_view code, std::string_view message) -> void;
-    auto finish_simple() -> void;
+    auto apply_status(const execute_reply& reply) -> void;
     auto end_transaction() -> void;
+    auto finish_simple() -> void;
+    /// Sends an ErrorResponse and always returns false.
+    auto fail(std::string_view code, std::string_view message) -> bool;
     auto report_token(std::string token) -> void;
 
     caller_protocol_options options_;
@@ -208,6 +235,8 @@
     std::string output_;
     caller_events events_;
     session_settings settings_;
+    std::string user_;
+    std::string application_name_;
     std::string token_;
     std::map<std::string, prepared, std::less<>> prepared_;
     std::map<std::string, portal, std::less<>> portals_;
@@ -219,10 +248,14 @@
     bool is_transaction_lost_ = false;
     /// A transaction that the proxy failed is still open at the target.
     bool is_open_at_target_ = false;
+    /// An extended query message came since the last Sync.
+    bool is_in_batch_ = false;
     bool is_skipping_to_sync_ = false;
     bool is_draining_ = false;
     /// A statement outside a transaction ran since the last Sync.
     bool has_run_since_sync_ = false;
+    /// The next Execute also answers the Describe of its portal.
+    bool is_described_ = false;
 };
 
 } // namespace rhubarbrun::inline v1
