--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -118,6 +118,12 @@
 
     [[nodiscard]] auto fault() const noexcept -> frame_fault { return fault_; }
 
+    /// Changes the limit for the frames that were not decoded yet.
+    auto set_max_payload(std::size_t max_payload) noexcept -> void
+    {
+        max_payload_ = max_payload;
+    }
+
     /// Takes the bytes that were appended but not decoded.
     [[nodiscard]] auto take_rest() -> std::string;
 
--- a/include/rhubarbrun/protocol/secret_key.hpp
+++ b/include/rhubarbrun/protocol/secret_key.hpp
@@ -47,7 +47,7 @@
 /// @throws std::runtime_error if the generator fails.
 [[nodiscard]] auto random_bytes(std::size_t size) -> std::string;
 
-/// A random incarnation for one run of a process; never 0.
+/// A random number that is not 0, as for an incarnation.
 [[nodiscard]] auto random_number() -> std::uint64_t;
 
 } // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/tests/protocol/internal_messages_test.cpp
@@ -0,0 +1,101 @@
+#include <rhubarbrun/protocol/internal_messages.hpp>
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace rhubarbrun;
+
+namespace {
+
+auto sample_request() -> execute_request
+{
+    auto request = execute_request{};
+    request.id = request_id(5);
+    request.target = target_id("t1");
+    request.body.text = "select 1";
+    request.body.parameters = {std::nullopt, "value"};
+    request.body.parameter_formats = {0, 1};
+    request.floor = log_position{term(3), log_offset(9)};
+    return request;
+}
+
+auto sample_report() -> target_report
+{
+    auto target = reported_target{};
+    target.id = target_id("t1");
+    target.group = group_id("g1");
+    target.address = "10.0.0.1";
+    target.port = 5432;
+    target.is_alive = true;
+    return {3, proxy_id("p1"), {target, target}};
+}
+
+} // namespace
+
+TEST_CASE("messages keep their content")
+{
+    const auto request = decode<execute_request>(encode(sample_request()));
+    REQUIRE(request);
+    CHECK(request->body.text == "select 1");
+    CHECK(request->body.parameters == sample_request().body.parameters);
+    CHECK(request->floor == sample_request().floor);
+
+    const auto report = decode<target_report>(encode(sample_report()));
+    REQUIRE(report);
+    CHECK(report->changes.size() == 2);
+    CHECK(report->changes[1].port == 5432);
+    CHECK(report->changes[1].is_alive);
+}
+
+TEST_CASE("truncated messages and trailing bytes are refused")
+{
+    const auto bytes = encode(sample_request());
+    for (auto size = std::size_t{0}; size < bytes.size(); ++size) {
+        CHECK_FALSE(decode<execute_request>(bytes.substr(0, size)));
+    }
+    CHECK_FALSE(decode<execute_request>(bytes + '\0'));
+}
+
+TEST_CASE("values outside an enumeration are refused")
+{
+    auto request = sample_request();
+    request.priority = static_cast<work_class>(9);
+    CHECK_FALSE(decode<execute_request>(encode(request)));
+    auto reply = execute_reply{};
+    reply.status = static_cast<transaction_status>(0);
+    CHECK_FALSE(decode<execute_reply>(encode(reply)));
+    auto answer = command_answer{};
+    answer.outcome = static_cast<command_outcome>(200);
+    CHECK_FALSE(decode<command_answer>(encode(answer)));
+}
+
+TEST_CASE("a container size beyond the input is refused before allocation")
+{
+    // Guards against a four-byte size that makes the decoder allocate 4 GiB.
+    auto report = encode(target_report{1, proxy_id("p"), {}});
+    report.replace(report.size() - 4, 4, "\xff\xff\xff\xff");
+    CHECK_FALSE(decode<target_report>(report));
+    CHECK_FALSE(decode<std::string>("\xff\xff\xff\x7f"));
+    CHECK_FALSE(decode<std::vector<std::uint64_t>>("\x08\0\0\0--------"));
+}
+
+TEST_CASE("decoding mutated messages neither throws nor crashes")
+{
+    auto random = std::mt19937(24);
+    const auto samples = {encode(sample_request()), encode(sample_report())};
+    for (const auto& sample : samples) {
+        for (auto round = 0; round < 3000; ++round) {
+            auto bytes = sample;
+            for (auto changes = 1 + random() % 4; changes > 0; --changes) {
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            }
+            bytes.resize(bytes.size() - random() % 3);
+            (void)decode<execute_request>(bytes);
+            (void)decode<target_report>(bytes);
+            (void)decode<execute_reply>(bytes);
+            (void)decode<propose_primary>(bytes);
+            (void)decode<register_proxy>(bytes);
+        }
+    }
+}
