protocol: carry the types of the decision layers in control messages

Cause: leases, reports, deltas and commands exist as types of the state and coordination layers, and a second set of message types would need copying.

Change: the control messages wrap those types with a request number. Commands share one answer with the outcome and the result of the command.

--- a/include/rhubarbrun/protocol/internal_messages.hpp
+++ b/include/rhubarbrun/protocol/internal_messages.hpp
@@ -1,10 +1,15 @@
 #ifndef RHUBARBRUN_PROTOCOL_INTERNAL_MESSAGES_HPP
 #define RHUBARBRUN_PROTOCOL_INTERNAL_MESSAGES_HPP
 
+#include <rhubarbrun/coordination/announcement_report.hpp>
+#include <rhubarbrun/coordination/consensus_message.hpp>
+#include <rhubarbrun/coordination/failover.hpp>
+#include <rhubarbrun/coordination/lease_messages.hpp>
 #include <rhubarbrun/protocol/execute_messages.hpp>
 #include <rhubarbrun/protocol/strict_archive.hpp>
+#include <rhubarbrun/state/control_command.hpp>
+#include <rhubarbrun/state/directory_records.hpp>
 #include <rhubarbrun/state/ids.hpp>
-#include <rhubarbrun/state/log_position.hpp>
 
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -13,92 +18,49 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace rhubarbrun::inline v1 {
 
-// All messages are encoded with encode() and decoded with decode<>(). A
-// request that has an answer carries a number that the sender chooses; the
-// answer echoes it. Resending a request is always allowed.
-
-/// Proxy to control: announce this run of the proxy, and subscribe to the
-/// directory. Answered with `registered` or `redirect`.
+// Payloads are encoded with encode() and decoded with decode<>(); the type of
+// each is listed in docs/internal-protocol.md. These messages are types of the
+// lower layers: consensus_message (consensus), lease_request (renew_lease),
+// lease_answer, directory_delta and announcement_report.
+//
+// A request that has an answer carries a number that the sender chooses and
+// the answer repeats. Every request may be sent again.
+
+/// Proxy to control: announces this run of the proxy and subscribes the link
+/// to the directory. Answered with `registered`, `command_answer` if the
+/// registration is refused, or `redirect`.
 struct register_proxy
 {
     std::uint64_t request = 0;
-    proxy_id id;
-    incarnation run;
-    zone_id zone;
-    /// IP address at which other processes reach this proxy.
-    std::string address;
-    /// TCP port of links, and UDP port of lease grants.
-    std::uint16_t peer_port = 0;
-    /// TCP port of HTTP.
-    std::uint16_t http_port = 0;
-    /// Last index that the proxy's directory holds; 0 for an empty one.
+    proxy_record proxy;
+    /// Index of the proxy's directory; 0 for an empty one.
     log_index directory_index;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, id, run, zone, address, peer_port, http_port,
-                directory_index);
+        archive(request, proxy, directory_index);
     }
 };
 
-/// Leader to proxy: the registration is committed.
+/// Leader to proxy: the registration is committed. A directory_delta follows.
 struct registered
 {
     std::uint64_t request = 0;
-    /// Port of the leader's UDP socket for `renew_lease`.
-    std::uint16_t datagram_port = 0;
-    /// Length of a lease, in microseconds.
-    std::int64_t lease_us = 0;
-
-    template <class Archive>
-    auto serialize(Archive& archive) -> void
-    {
-        archive(request, datagram_port, lease_us);
-    }
-};
-
-/// Proxy to leader, by UDP or over the link: extend this proxy's lease, which
-/// covers all targets assigned to it.
-struct renew_lease
-{
-    proxy_id id;
-    incarnation run;
-    /// The proxy's clock when it sent this, in microseconds; echoed.
-    std::int64_t sent_us = 0;
-    log_index directory_index;
-
-    template <class Archive>
-    auto serialize(Archive& archive) -> void
-    {
-        archive(id, run, sent_us, directory_index);
-    }
-};
-
-/// Leader to proxy: the lease runs `lease_us` from the time `sent_us`, by the
-/// proxy's clock.
-struct lease_grant
-{
-    proxy_id id;
-    incarnation run;
-    std::int64_t sent_us = 0;
-    /// 0 if the lease is refused, as for an unknown incarnation.
-    std::int64_t lease_us = 0;
-    /// Newest index of the leader's directory; pull if the own one is lower.
-    log_index directory_index;
+    /// UDP port of the leader for `renew_lease`.
+    std::uint16_t udp_port = 0;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(id, run, sent_us, lease_us, directory_index);
+        archive(request, udp_port);
     }
 };
 
-/// Proxy to control: send the changes after `known`.
+/// Proxy to leader: send the changes after `known`.
 struct directory_pull
 {
     log_index known;
@@ -110,185 +72,124 @@
     }
 };
 
-/// Control to proxy: an encoded `directory_delta`. Apply it only if the
-/// directory is at `from`, or if `is_complete` says that it replaces
-/// everything; pull otherwise.
-struct directory_update
-{
-    log_index from;
-    log_index to;
-    bool is_complete = false;
-    /// encode() of a directory_delta.
-    std::string delta;
-
-    template <class Archive>
-    auto serialize(Archive& archive) -> void
-    {
-        archive(from, to, is_complete, delta);
-    }
-};
-
-/// What a proxy learned from the announcements of one target.
-struct reported_target
-{
-    target_id id;
-    group_id group;
-    zone_id zone;
-    std::string address;
-    std::uint16_t port = 0;
-    std::uint32_t slots = 0;
-    std::uint32_t connection_limit = 0;
-    /// False once the announcements have expired.
-    bool is_alive = false;
-    bool is_leaving = false;
-
-    template <class Archive>
-    auto serialize(Archive& archive) -> void
-    {
-        archive(id, group, zone, address, port, slots, connection_limit,
-                is_alive, is_leaving);
-    }
-};
-
-/// Proxy to leader: changes in announcements since the last report. Answered
-/// with `command_answer` or `redirect`.
-struct target_report
+/// Owner of the primary, already fenced, to leader: set the group's primary.
+/// The claimant of the command must be the sender. Answered with
+/// `command_answer` or `redirect`.
+struct propose_primary
 {
     std::uint64_t request = 0;
-    proxy_id reporter;
-    std::vector<reported_target> changes;
+    set_primary_command command;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, reporter, changes);
+        archive(request, command);
     }
 };
 
-/// Last log position that a server reported to the proposer.
-struct target_position
+/// Live owner to leader: give up a target. The owner of the command must be
+/// the sender. Answered with `command_answer` or `redirect`.
+struct release_target
 {
-    target_id id;
-    log_position position;
+    std::uint64_t request = 0;
+    release_target_command command;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(id, position);
+        archive(request, command);
     }
 };
 
-/// Owner of the primary, already fenced, to leader: make `candidate` the
-/// primary of the next term. Answered with `propose_primary_answer` or
-/// `redirect`.
-struct propose_primary
+/// Proxy to leader: it shuts down; move its targets elsewhere. Answered with
+/// `command_answer` or `redirect`.
+struct drain_proxy
 {
     std::uint64_t request = 0;
-    group_id group;
-    /// Term that the proposer believes to be current.
-    term expected;
-    target_id candidate;
-    /// Highest position that was acknowledged in `expected`, if known.
-    std::optional<log_position> acknowledged;
-    std::vector<target_position> positions;
+    proxy_identity proxy;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, group, expected, candidate, acknowledged, positions);
+        archive(request, proxy);
     }
 };
 
-/// Outcome of a command that was sent to control.
+/// Whether a command was carried out.
 enum class command_outcome : std::uint8_t
 {
-    /// Committed and applied.
-    accepted,
-    /// Committed, and refused by the rules; sending it again changes nothing.
-    refused,
+    /// Committed and applied; `result` says whether the rules allowed it.
+    applied,
+    /// Not recorded; send it again later.
+    not_accepted,
     /// Not known to be committed; send it again.
     unknown,
-    /// The leader cannot take it now; send it again later.
-    busy,
+    /// The message names another proxy than its sender.
+    forbidden,
 };
 
-/// Leader to proposer: the group's term and primary as committed.
-struct propose_primary_answer
-{
-    std::uint64_t request = 0;
-    command_outcome outcome = command_outcome::unknown;
-    term current;
-    target_id primary;
-    std::string reason;
+/// Name of an outcome for logs.
+[[nodiscard]] auto to_string(command_outcome outcome) noexcept
+    -> std::string_view;
 
-    template <class Archive>
-    auto serialize(Archive& archive) -> void
-    {
-        archive(request, outcome, current, primary, reason);
-    }
-};
-
-/// Live owner to leader: hand this target to another owner. Answered with
-/// `command_answer` or `redirect`.
-struct release_target
+/// Leader to sender of a command.
+struct command_answer
 {
     std::uint64_t request = 0;
-    proxy_id owner;
-    incarnation run;
-    target_id target;
-    owner_epoch epoch;
+    command_outcome outcome = command_outcome::unknown;
+    /// Set if `outcome` is `applied`.
+    command_result result;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, owner, run, target, epoch);
+        archive(request, outcome, result);
     }
 };
 
-/// Proxy to leader: it shuts down; move its targets elsewhere. Answered with
-/// `command_answer` or `redirect`.
-struct drain_proxy
+/// Follower to sender of a request: ask the leader.
+struct redirect
 {
     std::uint64_t request = 0;
-    proxy_id id;
-    incarnation run;
+    /// Name of the leader in the setting `control_members`; empty if none is
+    /// known, and the request is best sent again after a pause.
+    member_id leader;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, id, run);
+        archive(request, leader);
     }
 };
 
-/// Leader to sender of a command.
-struct command_answer
+/// Follower to leader: an operator's HTTP request.
+struct forward_request
 {
     std::uint64_t request = 0;
-    command_outcome outcome = command_outcome::unknown;
-    /// Index of the log entry, if one was committed.
-    log_index index;
-    std::string reason;
+    std::string method;
+    std::string path;
+    /// Value of the Authorization header.
+    std::string authorization;
+    std::string body;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, outcome, index, reason);
+        archive(request, method, path, authorization, body);
     }
 };
 
-/// Follower to sender of a request: ask the leader.
-struct redirect
+/// Leader to follower: the HTTP response.
+struct forward_answer
 {
     std::uint64_t request = 0;
-    /// Empty if no leader is known; ask again after a pause.
-    member_id leader;
-    /// `address:port` for links to the leader.
-    std::string endpoint;
+    std::uint16_t status = 0;
+    std::string body;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, leader, endpoint);
+        archive(request, status, body);
     }
 };
 
@@ -297,6 +198,7 @@
 {
     std::uint64_t request = 0;
     target_id target;
+    /// IP address of the database server.
     std::string address;
     std::uint16_t port = 0;
     std::string database;
@@ -315,15 +217,13 @@
 {
     std::uint64_t request = 0;
     target_id target;
-    bool is_reachable = false;
-    bool is_in_recovery = false;
-    /// Flushed or replayed position; only if reachable.
-    std::optional<log_offset> position;
+    /// No value if the target could not be reached.
+    std::optional<server_status> status;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(request, target, is_reachable, is_in_recovery, position);
+        archive(request, target, status);
     }
 };
 
@@ -332,11 +232,15 @@
 [[nodiscard]] auto is_well_formed(const execute_request& value) noexcept
     -> bool;
 [[nodiscard]] auto is_well_formed(const execute_reply& value) noexcept -> bool;
-[[nodiscard]] auto is_well_formed(const register_proxy& value) noexcept -> bool;
-[[nodiscard]] auto is_well_formed(const target_report& value) noexcept -> bool;
-[[nodiscard]] auto is_well_formed(const propose_primary_answer& value) noexcept
+[[nodiscard]] auto is_well_formed(const lease_answer& value) noexcept -> bool;
+[[nodiscard]] auto is_well_formed(const directory_delta& value) noexcept
+    -> bool;
+[[nodiscard]] auto is_well_formed(const announcement_report& value) noexcept
     -> bool;
+[[nodiscard]] auto is_well_formed(const register_proxy& value) noexcept -> bool;
 [[nodiscard]] auto is_well_formed(const command_answer& value) noexcept -> bool;
+[[nodiscard]] auto is_well_formed(const consensus_message& value) noexcept
+    -> bool;
 
 } // namespace rhubarbrun::inline v1
 
--- a/src/protocol/internal_messages.cpp
+++ b/src/protocol/internal_messages.cpp
@@ -1,6 +1,7 @@
 #include <rhubarbrun/protocol/internal_messages.hpp>
 
 #include <algorithm>
+#include <variant>
 
 namespace rhubarbrun::inline v1 {
 
@@ -21,7 +22,7 @@
     return !text.empty() && text.size() <= longest_id;
 }
 
-auto is_well_formed_target(const reported_target& target) noexcept -> bool
+auto is_well_formed_target(const target_description& target) noexcept -> bool
 {
     return is_id(target.id.value()) && is_id(target.group.value()) &&
            target.zone.value().size() <= longest_id &&
@@ -41,8 +42,8 @@
 {
     return is_well_formed(value.body) &&
            is_at_most(value.step, transaction_step::end) &&
-           is_at_most(value.priority, work_class::report) &&
-           value.max_age_us >= 0;
+           (!value.hinted_class ||
+            is_at_most(*value.hinted_class, work_class::report));
 }
 
 auto is_well_formed(const execute_reply& value) noexcept -> bool
@@ -54,28 +55,90 @@
                                                     verdict::may_have_run));
 }
 
-auto is_well_formed(const register_proxy& value) noexcept -> bool
+auto is_well_formed(const lease_answer& value) noexcept -> bool
+{
+    return is_at_most(value.status, lease_status::reassigning) &&
+           value.duration_us >= 0;
+}
+
+auto is_well_formed(const directory_delta& value) noexcept -> bool
 {
-    return is_id(value.id.value()) && is_id(value.zone.value()) &&
-           !value.address.empty() && value.address.size() <= longest_address &&
-           value.peer_port != 0;
+    const auto has_mode = [](const group_record& group) {
+        return is_at_most(group.config.acknowledge,
+                          acknowledge_mode::second_server);
+    };
+    const auto has_presence = [](const target_record& target) {
+        return is_at_most(target.presence, target_presence::gone);
+    };
+    return value.since <= value.up_to &&
+           std::all_of(value.groups.begin(), value.groups.end(), has_mode) &&
+           std::all_of(value.targets.begin(), value.targets.end(),
+                       has_presence);
 }
 
-auto is_well_formed(const target_report& value) noexcept -> bool
+auto is_well_formed(const announcement_report& value) noexcept -> bool
 {
-    return is_id(value.reporter.value()) &&
-           std::all_of(value.changes.begin(), value.changes.end(),
-                       is_well_formed_target);
+    const auto is_heard = [](const heard_target& heard) {
+        return is_id(heard.id.value()) &&
+               (!heard.description ||
+                (is_well_formed_target(*heard.description) &&
+                 heard.description->id == heard.id));
+    };
+    return is_id(value.reporter.id.value()) &&
+           std::all_of(value.heard.begin(), value.heard.end(), is_heard);
 }
 
-auto is_well_formed(const propose_primary_answer& value) noexcept -> bool
+auto is_well_formed(const register_proxy& value) noexcept -> bool
 {
-    return is_at_most(value.outcome, command_outcome::busy);
+    const auto& proxy = value.proxy;
+    return is_id(proxy.identity.id.value()) && is_id(proxy.zone.value()) &&
+           !proxy.address.empty() && proxy.address.size() <= longest_address &&
+           proxy.http_address.size() <= longest_address &&
+           proxy.tcp_port != 0 && proxy.udp_port != 0;
 }
 
 auto is_well_formed(const command_answer& value) noexcept -> bool
 {
-    return is_at_most(value.outcome, command_outcome::busy);
+    return is_at_most(value.outcome, command_outcome::forbidden) &&
+           is_at_most(value.result.status, command_status::unsuitable_target);
+}
+
+auto is_well_formed(const consensus_message& value) noexcept -> bool
+{
+    const auto is_known = [](const group_member& member) {
+        return is_at_most(member.role, member_role::voter);
+    };
+    const auto is_valid = [&](const membership& group) {
+        return std::all_of(group.members.begin(), group.members.end(),
+                           is_known);
+    };
+    if (const auto* append = std::get_if<append_request>(&value.body)) {
+        return std::all_of(
+            append->entries.begin(), append->entries.end(),
+            [&](const log_entry& entry) {
+                return is_at_most(entry.kind, entry_kind::configuration) &&
+                       (!entry.configuration || is_valid(*entry.configuration));
+            });
+    }
+    if (const auto* chunk = std::get_if<snapshot_chunk>(&value.body)) {
+        return is_valid(chunk->metadata.configuration);
+    }
+    return true;
+}
+
+auto to_string(command_outcome outcome) noexcept -> std::string_view
+{
+    switch (outcome) {
+    case command_outcome::applied:
+        return "applied";
+    case command_outcome::not_accepted:
+        return "not_accepted";
+    case command_outcome::unknown:
+        return "unknown";
+    case command_outcome::forbidden:
+        return "forbidden";
+    }
+    return "invalid";
 }
 
 } // namespace rhubarbrun::inline v1
--- a/tests/protocol/internal_messages_test.cpp
+++ b/tests/protocol/internal_messages_test.cpp
@@ -20,15 +20,27 @@
     return request;
 }
 
-auto sample_report() -> target_report
+auto sample_report() -> announcement_report
 {
-    auto target = reported_target{};
+    auto target = target_description{};
     target.id = target_id("t1");
     target.group = group_id("g1");
     target.address = "10.0.0.1";
     target.port = 5432;
-    target.is_alive = true;
-    return {3, proxy_id("p1"), {target, target}};
+    const auto reporter = proxy_identity{proxy_id("p1"), incarnation(2)};
+    return {reporter,
+            {{target.id, 20, false, target},
+             {target_id("t2"), 0, true, std::nullopt}}};
+}
+
+auto sample_append() -> consensus_message
+{
+    auto entry = log_entry{log_index(4), election_term(2), entry_kind::command,
+                           "command", std::nullopt};
+    auto message = consensus_message{};
+    message.body = append_request{
+        log_index(3), election_term(1), log_index(2), {entry, entry}};
+    return message;
 }
 
 } // namespace
@@ -41,11 +53,15 @@
     CHECK(request->body.parameters == sample_request().body.parameters);
     CHECK(request->floor == sample_request().floor);
 
-    const auto report = decode<target_report>(encode(sample_report()));
+    const auto report = decode<announcement_report>(encode(sample_report()));
     REQUIRE(report);
-    CHECK(report->changes.size() == 2);
-    CHECK(report->changes[1].port == 5432);
-    CHECK(report->changes[1].is_alive);
+    REQUIRE(report->heard.size() == 2);
+    CHECK(report->heard[0].description->port == 5432);
+    CHECK(report->heard[1].is_leaving);
+
+    const auto append = decode<consensus_message>(encode(sample_append()));
+    REQUIRE(append);
+    CHECK(std::get<append_request>(append->body).entries.size() == 2);
 }
 
 TEST_CASE("truncated messages and trailing bytes are refused")
@@ -60,7 +76,7 @@
 TEST_CASE("values outside an enumeration are refused")
 {
     auto request = sample_request();
-    request.priority = static_cast<work_class>(9);
+    request.hinted_class = static_cast<work_class>(9);
     CHECK_FALSE(decode<execute_request>(encode(request)));
     auto reply = execute_reply{};
     reply.status = static_cast<transaction_status>(0);
@@ -73,9 +89,10 @@
 TEST_CASE("a container size beyond the input is refused before allocation")
 {
     // Guards against a four-byte size that makes the decoder allocate 4 GiB.
-    auto report = encode(target_report{1, proxy_id("p"), {}});
+    auto report =
+        encode(announcement_report{{proxy_id("p"), incarnation(1)}, {}});
     report.replace(report.size() - 4, 4, "\xff\xff\xff\xff");
-    CHECK_FALSE(decode<target_report>(report));
+    CHECK_FALSE(decode<announcement_report>(report));
     CHECK_FALSE(decode<std::string>("\xff\xff\xff\x7f"));
     CHECK_FALSE(decode<std::vector<std::uint64_t>>("\x08\0\0\0--------"));
 }
@@ -83,7 +100,8 @@
 TEST_CASE("decoding mutated messages neither throws nor crashes")
 {
     auto random = std::mt19937(24);
-    const auto samples = {encode(sample_request()), encode(sample_report())};
+    const auto samples = {encode(sample_request()), encode(sample_report()),
+                          encode(sample_append())};
     for (const auto& sample : samples) {
         for (auto round = 0; round < 3000; ++round) {
             auto bytes = sample;
@@ -92,10 +110,12 @@
             }
             bytes.resize(bytes.size() - random() % 3);
             (void)decode<execute_request>(bytes);
-            (void)decode<target_report>(bytes);
+            (void)decode<announcement_report>(bytes);
             (void)decode<execute_reply>(bytes);
             (void)decode<propose_primary>(bytes);
             (void)decode<register_proxy>(bytes);
+            (void)decode<consensus_message>(bytes);
+            (void)decode<directory_delta>(bytes);
         }
     }
 }
