--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -27,12 +27,12 @@
     directory_delta = 37,
     target_report = 38,
     propose_primary = 39,
-    propose_primary_answer = 40,
-    release_target = 41,
-    drain_proxy = 42,
-    command_answer = 43,
-    redirect = 44,
-    forward_command = 45,
+    release_target = 40,
+    drain_proxy = 41,
+    command_answer = 42,
+    redirect = 43,
+    forward_request = 48,
+    forward_answer = 49,
     confirm_target = 64,
     confirm_target_answer = 65,
     execute = 80,
@@ -118,6 +118,12 @@
 
     [[nodiscard]] auto fault() const noexcept -> frame_fault { return fault_; }
 
+    /// Changes the limit for the frames that were not decoded yet.
+    auto set_max_payload(std::size_t max_payload) noexcept -> void
+    {
+        max_payload_ = max_payload;
+    }
+
     /// Takes the bytes that were appended but not decoded.
     [[nodiscard]] auto take_rest() -> std::string;
 
