--- a/include/rhubarbrun/coordination/data_path_ids.hpp
+++ b/include/rhubarbrun/coordination/data_path_ids.hpp
@@ -23,10 +23,11 @@
 using link_id = strong_id<struct link_id_tag, std::uint64_t>;
 
 /// A caller's session as the owner knows it: session ids are unique only
-/// within one incarnation of their entry proxy.
+/// within one entry proxy, and whatever a session holds at the owner ends with
+/// the link over which it was asked for.
 struct entry_session
 {
-    incarnation entry;
+    link_id link;
     session_id session;
 
     friend auto operator<=>(const entry_session&, const entry_session&)
--- a/include/rhubarbrun/coordination/replica_choice.hpp
+++ b/include/rhubarbrun/coordination/replica_choice.hpp
@@ -113,6 +113,16 @@
     /// A read sent to `target` ended without an answer.
     auto on_failed(const target_id& target) -> void;
 
+    /// Positions of the primary that were reported.
+    [[nodiscard]] auto history() const noexcept -> const primary_history&
+    {
+        return history_;
+    }
+
+    /// Last report on a replica; null if there is none.
+    [[nodiscard]] auto find_report(const target_id& target) const
+        -> const replica_report*;
+
     /// Whether `target` is excluded for its lag.
     [[nodiscard]] auto is_excluded(const target_id& target) const -> bool;
 
--- a/include/rhubarbrun/coordination/transaction_pins.hpp
+++ b/include/rhubarbrun/coordination/transaction_pins.hpp
@@ -81,7 +81,7 @@
         -> std::optional<released_connection>;
 
     /// The link to an entry proxy was lost: as above, for all of its sessions.
-    [[nodiscard]] auto on_entry_lost(incarnation entry)
+    [[nodiscard]] auto on_link_lost(link_id link)
         -> std::vector<released_connection>;
 
     /// The connection failed; the transaction is gone.
--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -108,6 +108,10 @@
 
     [[nodiscard]] auto status() const -> entry_status;
 
+    /// Sessions with an open transaction and no request in flight.
+    [[nodiscard]] auto sessions_idle_in_transaction() const
+        -> std::vector<session_id>;
+
 private:
     using action = std::function<void()>;
     using actions = std::vector<action>;
@@ -161,13 +165,6 @@
         }
 
         replica_choice choice;
-        struct sample
-        {
-            time_point asked_at;
-            log_position log_end;
-        };
-        /// Log ends of the primary, the newest last.
-        std::deque<sample> samples;
         /// Newest answer of the primary's owner.
         time_point acknowledged_at{};
         std::optional<log_position> acknowledged;
@@ -207,9 +204,6 @@
         -> route;
     [[nodiscard]] auto establish_floor(session_state& caller, group_view& group)
         -> bool;
-    [[nodiscard]] static auto age_floor(const group_view& group, time_point now,
-                                        duration max_age)
-        -> std::optional<log_position>;
     auto send(session_id id, session_state& caller, const route& where,
               actions& todo) -> void;
     [[nodiscard]] auto make_request(session_id id, const session_state& caller,
@@ -221,6 +215,8 @@
     auto finish(session_id id, execute_reply reply, actions& todo) -> void;
     auto finish_with_error(session_id id, request_error error, actions& todo)
         -> void;
+    auto note_replayed(session_state& caller, const execute_reply& reply)
+        -> void;
     auto note_answer(session_state& caller, const execute_reply& reply) -> void;
     auto fence_reply(const session_state& caller, execute_reply& reply) const
         -> void;
--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -99,16 +99,16 @@
     /// Starts to connect; call once after construction.
     auto start() -> void;
 
-    /// Runs a request for a session of the entry proxy `entry`; `reply` is
-    /// called exactly once, on the strand.
-    auto submit(execute_request request, incarnation entry,
-                reply_function reply) -> void;
+    /// Runs a request for a session of the entry proxy behind `link`; `reply`
+    /// is called exactly once, on the strand.
+    auto submit(execute_request request, link_id link, reply_function reply)
+        -> void;
 
     /// Cancels one request of a session, or ends all that the session holds.
-    auto cancel(const cancel_request& request, incarnation entry) -> void;
+    auto cancel(const cancel_request& request, link_id link) -> void;
 
     /// The link to an entry proxy was lost: ends all of its sessions.
-    auto on_entry_lost(incarnation entry) -> void;
+    auto on_link_lost(link_id link) -> void;
 
     /// A newer directory is in force.
     auto set_directory(directory_view view) -> void;
@@ -206,8 +206,8 @@
     auto step_handover(time_point now) -> void;
 
     // Requests, in owned_target_jobs.cpp.
-    auto on_submit(execute_request request, incarnation entry,
-                   reply_function reply) -> void;
+    auto on_submit(execute_request request, link_id link, reply_function reply)
+        -> void;
     [[nodiscard]] auto refusal(const job& work) const
         -> std::optional<execute_reply>;
     auto admit(job work) -> void;
--- a/include/rhubarbrun/transport/ranked_mutex.hpp
+++ b/include/rhubarbrun/transport/ranked_mutex.hpp
@@ -12,11 +12,14 @@
 {
     sessions = 1,
     owned_targets = 2,
-    peer_links = 3,
-    announcements = 4,
-    control = 5,
-    directory = 6,
-    metrics = 7,
+    proxy_links = 3,
+    peer_links = 4,
+    link_queues = 5,
+    datagrams = 6,
+    announcements = 7,
+    control = 8,
+    directory = 9,
+    metrics = 10,
 };
 
 /// A mutex with a rank; the order is checked if the library was built with
--- a/src/coordination/read_policy.cpp
+++ b/src/coordination/read_policy.cpp
@@ -109,7 +109,7 @@
                 const primary_history& history, log_position replayed)
     -> read_fitness
 {
-    if (requirements.floor && replayed < *requirements.floor) {
+    if (requirements.floor && !satisfies(replayed, *requirements.floor)) {
         return read_fitness::behind_floor;
     }
     if (requirements.max_age > duration{}) {
--- a/src/coordination/replica_choice.cpp
+++ b/src/coordination/replica_choice.cpp
@@ -105,6 +105,13 @@
     }
 }
 
+auto replica_choice::find_report(const target_id& target) const
+    -> const replica_report*
+{
+    const auto found = replicas_.find(target);
+    return found == replicas_.end() ? nullptr : &found->second.report;
+}
+
 auto replica_choice::on_removed(const target_id& target) -> void
 {
     replicas_.erase(target);
--- a/src/coordination/transaction_pins.cpp
+++ b/src/coordination/transaction_pins.cpp
@@ -91,12 +91,12 @@
     return release(pins_.find(found->second), connection_fate::close);
 }
 
-auto transaction_pins::on_entry_lost(incarnation entry)
+auto transaction_pins::on_link_lost(link_id link)
     -> std::vector<released_connection>
 {
     auto result = std::vector<released_connection>{};
-    auto next = by_session_.lower_bound({entry, session_id(0)});
-    while (next != by_session_.end() && next->first.entry == entry) {
+    auto next = by_session_.lower_bound({link, session_id(0)});
+    while (next != by_session_.end() && next->first.link == link) {
         const auto pin = pins_.find(next->second);
         ++next;
         result.push_back(release(pin, connection_fate::close));
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -217,17 +217,6 @@
     return true;
 }
 
-auto entry_router::age_floor(const group_view& group, time_point now,
-                             duration max_age) -> std::optional<log_position>
-{
-    const auto earliest = now - max_age;
-    const auto found = std::find_if(
-        group.samples.begin(), group.samples.end(),
-        [&](const auto& sample) { return sample.asked_at >= earliest; });
-    return found == group.samples.end() ? std::nullopt
-                                        : std::optional(found->log_end);
-}
-
 auto entry_router::route_read(session_state& caller, actions& todo) -> route
 {
     const auto now = hooks_.now();
@@ -247,7 +236,7 @@
                              ? running.body.max_age
                              : std::chrono::milliseconds(policy.max_age_ms);
     const auto has_floor = establish_floor(caller, group);
-    const auto by_age = age_floor(group, now, max_age);
+    const auto by_age = group.choice.history().floor_for_age(now, max_age);
     auto where = route{};
     if (!has_floor || !by_age) {
         if (now >= running.position_limit) {
@@ -324,13 +313,14 @@
         park(id, caller, reroute_pause);
         return;
     }
-    const auto local = target->owner->id == options_.self.id
-                           ? hooks_.find_local(where.target)
-                           : nullptr;
-    const auto link = target->owner->id == options_.self.id
-                          ? std::optional(local_link)
-                          : hooks_.find_link(target->owner->id);
-    const auto is_local = link == local_link;
+    const auto is_local = target->owner->id == options_.self.id;
+    const auto local = is_local ? hooks_.find_local(where.target) : nullptr;
+    auto link = std::optional(local_link);
+    if (!is_local) {
+        // The owner ties a transaction to the link that opened it.
+        link = caller.transaction ? caller.transaction->link
+                                  : hooks_.find_link(target->owner->id);
+    }
     if (!link || (is_local && !local)) {
         park(id, caller, reroute_pause);
         return;
@@ -350,7 +340,7 @@
     auto message = make_request(id, caller, *target, where);
     if (is_local) {
         todo.push_back([this, local, message = std::move(message)]() mutable {
-            local->submit(std::move(message), options_.self.run,
+            local->submit(std::move(message), local_link,
                           [this](execute_reply reply) {
                               on_reply(local_link, std::move(reply));
                           });
@@ -471,6 +461,21 @@
     });
 }
 
+auto entry_router::note_replayed(session_state& caller,
+                                 const execute_reply& reply) -> void
+{
+    auto& group = group_state(caller.group);
+    const auto* const known = group.choice.find_report(caller.running->target);
+    if (known == nullptr || !reply.position) {
+        return;
+    }
+    auto report = *known;
+    report.replayed = std::max(report.replayed, *reply.position);
+    report.replayed_at = hooks_.now();
+    report.load = reply.load;
+    group.choice.on_report(report.replayed_at, std::move(report));
+}
+
 auto entry_router::note_answer(session_state& caller,
                                const execute_reply& reply) -> void
 {
@@ -500,6 +505,7 @@
             choice.on_failed(running.target);
         } else {
             choice.on_answered(running.target, reply.load);
+            note_replayed(caller, reply);
         }
     }
 }
@@ -533,7 +539,7 @@
         if (link != local_link) {
             hooks_.send_cancel(link, message);
         } else if (const auto local = hooks_.find_local(target)) {
-            local->cancel(message, options_.self.run);
+            local->cancel(message, local_link);
         }
     });
 }
@@ -701,7 +707,6 @@
 
 auto entry_router::on_position(const position_answer& answer) -> void
 {
-    constexpr auto most_samples = std::size_t{256};
     auto todo = actions{};
     {
         const auto lock = std::lock_guard(mutex_);
@@ -721,10 +726,6 @@
             // The owner read the log end `age_us` before it answered, hence
             // at most that long before this question was asked.
             const auto read_at = asked_at - duration(answer.age_us);
-            group.samples.push_back({read_at, *answer.log_end});
-            while (group.samples.size() > most_samples) {
-                group.samples.pop_front();
-            }
             group.acknowledged = answer.position;
             group.acknowledged_at = asked_at;
             group.followers = {answer.followers.begin(),
@@ -767,4 +768,17 @@
     return result;
 }
 
+auto entry_router::sessions_idle_in_transaction() const
+    -> std::vector<session_id>
+{
+    const auto lock = std::lock_guard(mutex_);
+    auto result = std::vector<session_id>{};
+    for (const auto& [id, caller] : sessions_) {
+        if (caller.transaction && !caller.running) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 } // namespace rhubarbrun::inline v1
--- a/src/transport/owned_target_jobs.cpp
+++ b/src/transport/owned_target_jobs.cpp
@@ -57,22 +57,22 @@
 
 } // namespace
 
-auto owned_target::submit(execute_request request, incarnation entry,
+auto owned_target::submit(execute_request request, link_id link,
                           reply_function reply) -> void
 {
     asio::post(strand_,
-               [self = shared_from_this(), request = std::move(request), entry,
+               [self = shared_from_this(), request = std::move(request), link,
                 reply = std::move(reply)]() mutable {
-                   self->on_submit(std::move(request), entry, std::move(reply));
+                   self->on_submit(std::move(request), link, std::move(reply));
                });
 }
 
-auto owned_target::on_submit(execute_request request, incarnation entry,
+auto owned_target::on_submit(execute_request request, link_id link,
                              reply_function reply) -> void
 {
     const auto now = hooks_.now();
     auto work = job{};
-    work.session = {entry, request.session};
+    work.session = {link, request.session};
     work.reply = std::move(reply);
     work.deadline = now + duration(request.time_left_us);
     work.request = std::move(request);
@@ -520,11 +520,10 @@
     }
 }
 
-auto owned_target::cancel(const cancel_request& request, incarnation entry)
-    -> void
+auto owned_target::cancel(const cancel_request& request, link_id link) -> void
 {
-    asio::post(strand_, [self = shared_from_this(), request, entry] {
-        const auto session = entry_session{entry, request.session};
+    asio::post(strand_, [self = shared_from_this(), request, link] {
+        const auto session = entry_session{link, request.session};
         if (request.id == request_id(0)) {
             self->end_session(session);
             return;
@@ -547,19 +546,19 @@
     });
 }
 
-auto owned_target::on_entry_lost(incarnation entry) -> void
+auto owned_target::on_link_lost(link_id link) -> void
 {
-    asio::post(strand_, [self = shared_from_this(), entry] {
+    asio::post(strand_, [self = shared_from_this(), link] {
         auto sessions = std::vector<entry_session>{};
         for (const auto& [ticket, work] : self->jobs_) {
-            if (work.session.entry == entry) {
+            if (work.session.link == link) {
                 sessions.push_back(work.session);
             }
         }
         for (const auto& session : sessions) {
             self->end_session(session);
         }
-        for (const auto& released : self->pins_.on_entry_lost(entry)) {
+        for (const auto& released : self->pins_.on_link_lost(link)) {
             self->release(released);
         }
         self->pump();
--- a/tests/coordination/transaction_pins_test.cpp
+++ b/tests/coordination/transaction_pins_test.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 const auto start = time_point(1h);
-const auto alice = entry_session{incarnation(1), session_id(1)};
-const auto bob = entry_session{incarnation(1), session_id(2)};
+const auto alice = entry_session{link_id(1), session_id(1)};
+const auto bob = entry_session{link_id(1), session_id(2)};
 /// Same session id as `alice`, at another entry proxy.
-const auto other_alice = entry_session{incarnation(2), session_id(1)};
+const auto other_alice = entry_session{link_id(2), session_id(1)};
 
 } // namespace
 
@@ -85,7 +85,7 @@
     REQUIRE(pins.pin(start, alice, connection_id(1)));
     REQUIRE(pins.pin(start, other_alice, connection_id(2)));
     REQUIRE(pins.pin(start, bob, connection_id(3)));
-    const auto released = pins.on_entry_lost(incarnation(1));
+    const auto released = pins.on_link_lost(link_id(1));
     CHECK(released.size() == 2);
     CHECK(pins.find(other_alice));
     CHECK(pins.on_connection_lost(connection_id(2))->session == other_alice);
