coordination: test the replicated log in random histories

Cause: safety faults of a replicated log show only in rare orders of crashes, splits, lost disks and late messages.

Change: random histories over one to five members, checked against an oracle of committed entries, leaders, leases and reads; slow disks with several unpersisted batches; planted faults that the checks must find.

--- a/include/rhubarbrun/coordination/consensus_options.hpp
+++ b/include/rhubarbrun/coordination/consensus_options.hpp
@@ -21,8 +21,6 @@
     commit_of_earlier_term,
     /// Votes although the leader was heard of within the election timeout.
     vote_despite_leader,
-    /// Acknowledges messages that are addressed to another incarnation.
-    foreign_incarnation,
     /// Founds a group without the agreement of all initial members.
     found_alone,
 };
--- a/src/coordination/consensus_core.cpp
+++ b/src/coordination/consensus_core.cpp
@@ -108,7 +108,7 @@
     if (message.from.id == self_.id) {
         return false;
     }
-    if (message.to == self_ || has_fault(planted_fault::foreign_incarnation)) {
+    if (message.to == self_) {
         return true;
     }
     const auto may_be_open =
--- a/tests/coordination/consensus_network.cpp
+++ b/tests/coordination/consensus_network.cpp
@@ -55,7 +55,7 @@
     options.is_founding = settings_.is_founding;
     options.entries_kept = settings_.entries_kept;
     options.snapshot_chunk_bytes = chunk_bytes;
-    options.append_entries = 16;
+    options.append_entries = settings_.append_entries;
     options.appends_in_flight = 4;
     options.fault = settings_.fault;
     node.applied = 0;
@@ -88,6 +88,9 @@
     auto next =
         in_flight_.empty() ? time_point::max() : in_flight_.begin()->first;
     for (auto index = std::size_t{0}; index < size(); ++index) {
+        if (!nodes_[index].pending.empty()) {
+            next = std::min(next, nodes_[index].pending.front().first);
+        }
         if (is_running(index)) {
             const auto wait =
                 nodes_[index].member->next_tick() - local_time(index);
@@ -137,30 +140,45 @@
 auto consensus_network::drain(std::size_t index) -> void
 {
     auto& node = nodes_[index];
-    while (node.member && node.member->has_ready()) {
-        const auto ready = node.member->take_ready();
-        const auto point = node.crash;
-        if (point == crash_point::before_persisting) {
-            crash(index);
-            return;
-        }
-        persist(node, ready);
-        node.member->on_persisted(ready.number);
-        if (point == crash_point::after_persisting) {
-            crash(index);
-            return;
+    while (node.member) {
+        if (node.member->has_ready()) {
+            node.pending.emplace_back(now_ + settings_.disk_delay,
+                                      node.member->take_ready());
         }
-        for (const auto& message : ready.messages) {
-            post(index, message);
+        if (node.pending.empty() || node.pending.front().first > now_) {
+            break;
         }
-        if (point == crash_point::after_sending) {
-            crash(index);
-            return;
-        }
-        apply(node, ready);
+        const auto ready = std::move(node.pending.front().second);
+        node.pending.pop_front();
+        finish(index, ready);
     }
 }
 
+auto consensus_network::finish(std::size_t index, const consensus_ready& ready)
+    -> void
+{
+    auto& node = nodes_[index];
+    const auto point = node.crash;
+    if (point == crash_point::before_persisting) {
+        crash(index);
+        return;
+    }
+    persist(node, ready);
+    node.member->on_persisted(ready.number);
+    if (point == crash_point::after_persisting) {
+        crash(index);
+        return;
+    }
+    for (const auto& message : ready.messages) {
+        post(index, message);
+    }
+    if (point == crash_point::after_sending) {
+        crash(index);
+        return;
+    }
+    apply(node, ready);
+}
+
 auto consensus_network::persist(slot& node, const consensus_ready& ready)
     -> void
 {
@@ -235,7 +253,7 @@
     }
     const auto copies = random_() % 100 < settings_.duplication ? 2 : 1;
     for (auto copy = 0; copy < copies; ++copy) {
-        if (random_() % 100 < settings_.loss) {
+        if (random_() % 100 < settings_.loss || (drop_ && drop_(message))) {
             continue;
         }
         const auto spread =
@@ -332,6 +350,7 @@
 auto consensus_network::crash(std::size_t node) -> void
 {
     nodes_[node].member.reset();
+    nodes_[node].pending.clear();
 }
 
 auto consensus_network::crash_at(std::size_t node, crash_point point) -> void
@@ -349,7 +368,9 @@
 {
     crash(node);
     nodes_[node].disk = {};
-    nodes_[node].identity.instance = incarnation(random_() | 1U);
+    if (!settings_.keeps_incarnation) {
+        nodes_[node].identity.instance = incarnation(random_() | 1U);
+    }
     start(node);
 }
 
@@ -384,13 +405,19 @@
     if (at == size() || !propose(at, command)) {
         return false;
     }
-    return run_until([&] {
-        return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
-            return !node.member || node.part != nodes_[at].part ||
-                   (node.applied == history_.size() &&
-                    history_.rbegin()->second.entry.command == command);
-        });
-    });
+    const auto is_committed = [&] {
+        return std::any_of(history_.rbegin(), history_.rend(),
+                           [&](const auto& item) {
+                               return item.second.entry.command == command;
+                           });
+    };
+    return run_until(is_committed) && run_until([&] {
+               return std::all_of(
+                   nodes_.begin(), nodes_.end(), [&](const auto& node) {
+                       return !node.member || node.part != nodes_[at].part ||
+                              node.applied == history_.size();
+                   });
+           });
 }
 
 auto consensus_network::read(std::size_t node) -> bool
@@ -413,11 +440,6 @@
     drain(node);
 }
 
-auto consensus_network::inject(const consensus_message& message) -> void
-{
-    in_flight_.emplace(now_, message);
-}
-
 auto consensus_network::applied(std::size_t node) const -> std::uint64_t
 {
     return nodes_[node].applied;
@@ -428,21 +450,26 @@
     return nodes_[node].restores;
 }
 
-auto consensus_network::is_whole() -> bool
+auto consensus_network::is_repaired() -> bool
 {
-    for (const auto& node : nodes_) {
-        if (!node.member || node.applied != history_.size()) {
-            return false;
-        }
-    }
     const auto at = leader();
-    if (at == size()) {
+    if (at == size() || !has_lease(at)) {
         return false;
     }
-    const auto configuration = status(at).configuration;
-    return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
-        return configuration.is_voter(node.identity);
-    });
+    const auto state = status(at);
+    return state.applied == state.last &&
+           std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+               return node.member &&
+                      state.configuration.is_voter(node.identity);
+           });
+}
+
+auto consensus_network::is_whole() -> bool
+{
+    return is_repaired() &&
+           std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+               return node.applied == history_.size();
+           });
 }
 
 auto consensus_network::messages_sent(const std::string& name) const
--- a/tests/coordination/consensus_network.hpp
+++ b/tests/coordination/consensus_network.hpp
@@ -3,6 +3,8 @@
 
 #include <rhubarbrun/coordination/consensus.hpp>
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -34,7 +36,12 @@
     unsigned loss = 0;
     unsigned duplication = 0;
     duration longest_delay = std::chrono::milliseconds(3);
+    /// Batches wait this long for the disk; several may be outstanding.
+    duration disk_delay = {};
     std::size_t entries_kept = 10;
+    std::size_t append_entries = 16;
+    /// Plants a fault: a member that lost its disk keeps its incarnation.
+    bool keeps_incarnation = false;
     bool is_founding = true;
     bool has_clock_drift = true;
 };
@@ -92,7 +99,11 @@
     auto commit(const std::string& command) -> bool;
     auto read(std::size_t node) -> bool;
     auto compact(std::size_t node) -> void;
-    auto inject(const consensus_message& message) -> void;
+    /// Messages for which `drop` is true are lost; null drops none.
+    auto drop_if(std::function<bool(const consensus_message&)> drop) -> void
+    {
+        drop_ = std::move(drop);
+    }
 
     auto applied(std::size_t node) const -> std::uint64_t;
     auto committed_count() const -> std::size_t { return history_.size(); }
@@ -100,6 +111,8 @@
     auto restores(std::size_t node) const -> std::size_t;
     /// Whether all members run, are voters, and applied the same.
     auto is_whole() -> bool;
+    /// Whether all members run and are voters by a committed configuration.
+    auto is_repaired() -> bool;
     auto messages_sent(const std::string& name) const -> std::size_t;
     auto largest_append() const -> std::size_t { return largest_append_; }
 
@@ -122,6 +135,8 @@
         std::size_t part = 0;
         std::size_t restores = 0;
         crash_point crash = crash_point::none;
+        /// Batches that the disk has not written yet, and when it will have.
+        std::deque<std::pair<time_point, consensus_ready>> pending;
         /// Committed entries in the whole group when a read was asked for.
         std::map<read_ticket, std::uint64_t> reads;
     };
@@ -137,6 +152,7 @@
     /// Earliest delivery or timer, so that quiet times are skipped.
     auto next_event() const -> time_point;
     auto drain(std::size_t index) -> void;
+    auto finish(std::size_t index, const consensus_ready& ready) -> void;
     auto persist(slot& node, const consensus_ready& ready) -> void;
     auto apply(slot& node, const consensus_ready& ready) -> void;
     auto record_entry(slot& node, const log_entry& entry) -> void;
@@ -154,6 +170,7 @@
     std::map<std::uint64_t, record> history_;
     std::map<election_term, member_identity> leaders_;
     std::map<std::string, std::size_t> sent_;
+    std::function<bool(const consensus_message&)> drop_;
     std::size_t confirmed_reads_ = 0;
     std::size_t largest_append_ = 0;
     std::vector<std::string> violations_;
