coordination: let the owner of a replica check age and floor alike

Cause: the message to the owner carries one position, while a read states a floor and an accepted age; and answered reads carry a fresh position.

Change: replica_choice turns both into one position, and learns the position of a replica from its answers.

Conclusion: the owner needs no clock comparison to check the age.

--- a/include/rhubarbrun/coordination/replica_choice.hpp
+++ b/include/rhubarbrun/coordination/replica_choice.hpp
@@ -56,6 +56,8 @@
     std::uint32_t slots = 1;
     /// Reported load and reads sent since the report.
     std::uint32_t load = 0;
+    /// Reads sent by this proxy and not yet answered.
+    std::uint32_t outstanding = 0;
 };
 
 /// Selects one of the candidates, which are never empty.
@@ -107,12 +109,25 @@
                               const read_requirements& requirements)
         -> read_route;
 
+    /// The replica had replayed `position` when asked at `asked_at`, as an
+    /// answer to a read tells.
+    auto on_replayed(time_point asked_at, const target_id& target,
+                     log_position position) -> void;
+
     /// A read sent to `target` was answered; `load` is the load in the answer.
     auto on_answered(const target_id& target, std::uint32_t load) -> void;
 
     /// A read sent to `target` ended without an answer.
     auto on_failed(const target_id& target) -> void;
 
+    /// Position that the owner of the replica checks before it runs the read:
+    /// the floor, or that of the accepted age if it is higher. No value if
+    /// data of that age cannot be told from older data.
+    [[nodiscard]] auto
+    required_position(time_point now,
+                      const read_requirements& requirements) const
+        -> std::optional<log_position>;
+
     /// Whether `target` is excluded for its lag.
     [[nodiscard]] auto is_excluded(const target_id& target) const -> bool;
 
--- a/src/coordination/replica_choice.cpp
+++ b/src/coordination/replica_choice.cpp
@@ -83,6 +83,32 @@
     update_exclusion(now, entry);
 }
 
+auto replica_choice::on_replayed(time_point asked_at, const target_id& target,
+                                 log_position position) -> void
+{
+    const auto found = replicas_.find(target);
+    if (found == replicas_.end() || position < found->second.report.replayed) {
+        return;
+    }
+    found->second.report.replayed = position;
+    found->second.report.replayed_at =
+        std::max(found->second.report.replayed_at, asked_at);
+}
+
+auto replica_choice::required_position(
+    time_point now, const read_requirements& requirements) const
+    -> std::optional<log_position>
+{
+    if (requirements.max_age <= duration{}) {
+        return requirements.floor;
+    }
+    const auto by_age = history_.floor_for_age(now, requirements.max_age);
+    if (!by_age) {
+        return std::nullopt;
+    }
+    return std::max(requirements.floor.value_or(*by_age), *by_age);
+}
+
 auto replica_choice::update_exclusion(time_point now, replica& entry) -> void
 {
     const auto behind = history_.behind_newest(entry.report.replayed);
@@ -129,7 +155,8 @@
             const auto load = std::max(entry.report.load + entry.sent_since,
                                        entry.outstanding);
             candidates.push_back({target, entry.report.distance,
-                                  std::max(entry.report.slots, 1U), load});
+                                  std::max(entry.report.slots, 1U), load,
+                                  entry.outstanding});
         }
     }
     if (candidates.empty()) {
--- a/tests/coordination/replica_choice_test.cpp
+++ b/tests/coordination/replica_choice_test.cpp
@@ -104,6 +104,28 @@
           read_target::primary);
 }
 
+TEST_CASE("the owner's check covers the floor and the accepted age")
+{
+    auto random = std::mt19937_64(1);
+    const auto choice = make_choice(random);
+    CHECK(choice.required_position(now, read(at(9'990))) == at(9'990));
+    CHECK(choice.required_position(now, read(at(9'990), 1s)) == at(9'990));
+    CHECK(choice.required_position(now, read(at(50), 1s)) == at(9'000));
+    CHECK_FALSE(choice.required_position(now + 2s, read(at(50), 1s)));
+}
+
+TEST_CASE("an answered read tells how far the replica is")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(5'000), now));
+    REQUIRE(choice.choose(now, read(at(9'000))).kind == read_target::primary);
+    choice.on_replayed(now, near_one, at(9'500));
+    CHECK(choice.choose(now, read(at(9'000))).target == near_one);
+    choice.on_replayed(now, near_one, at(100));
+    CHECK(choice.choose(now, read(at(9'000))).target == near_one);
+}
+
 TEST_CASE("a read waits for a replica that is about to reach its floor")
 {
     auto random = std::mt19937_64(1);
