--- a/include/rhubarbrun/state/log_position.hpp
+++ b/include/rhubarbrun/state/log_position.hpp
@@ -3,6 +3,7 @@
 
 #include <rhubarbrun/state/ids.hpp>
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,15 @@
            reached.offset >= floor.offset;
 }
 
+/// The lowest position that satisfies both floors.
+[[nodiscard]] constexpr auto join(const log_position& left,
+                                  const log_position& right) noexcept
+    -> log_position
+{
+    return {std::max(left.group_term, right.group_term),
+            std::max(left.offset, right.offset)};
+}
+
 /// Parses PostgreSQL's text form of a position, such as `16/B374D848`.
 ///
 /// Returns no value if the text is not two hexadecimal numbers of at most 32
--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -215,8 +215,6 @@
     auto finish(session_id id, execute_reply reply, actions& todo) -> void;
     auto finish_with_error(session_id id, request_error error, actions& todo)
         -> void;
-    auto note_replayed(session_state& caller, const execute_reply& reply)
-        -> void;
     auto note_answer(session_state& caller, const execute_reply& reply) -> void;
     auto fence_reply(const session_state& caller, execute_reply& reply) const
         -> void;
--- a/src/state/session_token.cpp
+++ b/src/state/session_token.cpp
@@ -114,7 +114,7 @@
 {
     const auto [entry, is_new] = floors_.try_emplace(group, position);
     if (!is_new) {
-        entry->second = std::max(entry->second, position);
+        entry->second = join(entry->second, position);
     }
 }
 
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -236,23 +236,21 @@
                              ? running.body.max_age
                              : std::chrono::milliseconds(policy.max_age_ms);
     const auto has_floor = establish_floor(caller, group);
-    const auto by_age = group.choice.history().floor_for_age(now, max_age);
+    auto requirements = read_requirements{};
+    requirements.floor = caller.token.floor(caller.group);
+    requirements.max_age = max_age;
+    requirements.deadline = running.deadline;
+    const auto floor = group.choice.required_position(now, requirements);
     auto where = route{};
-    if (!has_floor || !by_age) {
+    if (!has_floor || !floor) {
         if (now >= running.position_limit) {
             return route_to_primary(caller);
         }
         refresh(caller.group, group, todo);
         return where;
     }
-    auto floor = *by_age;
-    if (const auto own = caller.token.floor(caller.group)) {
-        floor.group_term = std::max(floor.group_term, own->group_term);
-        floor.offset = std::max(floor.offset, own->offset);
-    }
-    auto requirements = read_requirements{};
     requirements.floor = floor;
-    requirements.deadline = running.deadline;
+    requirements.max_age = duration::zero();
     const auto chosen = group.choice.choose(now, requirements);
     if (chosen.kind == read_target::primary) {
         return route_to_primary(caller);
@@ -461,21 +459,6 @@
     });
 }
 
-auto entry_router::note_replayed(session_state& caller,
-                                 const execute_reply& reply) -> void
-{
-    auto& group = group_state(caller.group);
-    const auto* const known = group.choice.find_report(caller.running->target);
-    if (known == nullptr || !reply.position) {
-        return;
-    }
-    auto report = *known;
-    report.replayed = std::max(report.replayed, *reply.position);
-    report.replayed_at = hooks_.now();
-    report.load = reply.load;
-    group.choice.on_report(report.replayed_at, std::move(report));
-}
-
 auto entry_router::note_answer(session_state& caller,
                                const execute_reply& reply) -> void
 {
@@ -505,7 +488,10 @@
             choice.on_failed(running.target);
         } else {
             choice.on_answered(running.target, reply.load);
-            note_replayed(caller, reply);
+            if (reply.position) {
+                choice.on_replayed(hooks_.now(), running.target,
+                                   *reply.position);
+            }
         }
     }
 }
