--- a/include/rhubarbrun/transport/peer_links.hpp
+++ b/include/rhubarbrun/transport/peer_links.hpp
@@ -38,7 +38,7 @@
     /// A link is closed after this long without a received byte. With the
     /// first back-off a silent link is replaced within about 1 s.
     duration silence = std::chrono::milliseconds(700);
-    /// Time for the TCP connection and for the handshake, each.
+    /// Time for the TCP connection and the handshake together.
     duration setup = std::chrono::milliseconds(700);
     duration first_backoff = std::chrono::milliseconds(50);
     duration last_backoff = std::chrono::milliseconds(1000);
--- a/include/rhubarbrun/transport/ranked_mutex.hpp
+++ b/include/rhubarbrun/transport/ranked_mutex.hpp
@@ -15,8 +15,10 @@
     owned_targets = 3,
     forwarded_requests = 4,
     peer_links = 5,
-    announcements = 6,
-    metrics = 7,
+    link_queues = 6,
+    datagrams = 7,
+    announcements = 8,
+    metrics = 9,
 };
 
 /// A mutex with a rank; the order is checked if the library was built with
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,413 @@
+#include <rhubarbrun/transport/http_server.hpp>
+
+#include <rhubarbrun/transport/event_log.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <exception>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto accept_pause = std::chrono::milliseconds(100);
+/// Of a path that is matched against the routes.
+constexpr auto most_path_parts = std::size_t{16};
+
+auto split_path(std::string_view path) -> std::vector<std::string>
+{
+    auto parts = std::vector<std::string>();
+    while (!path.empty() && parts.size() < most_path_parts) {
+        path.remove_prefix(1);
+        const auto end = std::min(path.find('/'), path.size());
+        parts.emplace_back(path.substr(0, end));
+        path.remove_prefix(end);
+    }
+    return parts;
+}
+
+auto is_parameter(const std::string& part) -> bool
+{
+    return part.size() > 2 && part.front() == '{' && part.back() == '}';
+}
+
+struct route_entry
+{
+    std::string method;
+    std::vector<std::string> parts;
+    http_handler handler;
+
+    /// The parameters if the path matches.
+    [[nodiscard]] auto match(const std::vector<std::string>& path) const
+        -> std::optional<std::map<std::string, std::string>>
+    {
+        if (path.size() != parts.size()) {
+            return std::nullopt;
+        }
+        auto parameters = std::map<std::string, std::string>();
+        for (auto index = std::size_t{0}; index < parts.size(); ++index) {
+            const auto& part = parts[index];
+            if (is_parameter(part)) {
+                parameters[part.substr(1, part.size() - 2)] = path[index];
+            } else if (part != path[index]) {
+                return std::nullopt;
+            }
+        }
+        return parameters;
+    }
+};
+
+auto to_lower(std::string_view text) -> std::string
+{
+    auto lower = std::string(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z'
+                   ? static_cast<char>(letter - 'A' + 'a')
+                   : letter;
+    });
+    return lower;
+}
+
+auto to_view(beast::string_view text) -> std::string_view
+{
+    return {text.data(), text.size()};
+}
+
+auto convert(http::request<http::string_body>&& message) -> http_request
+{
+    auto request = http_request{};
+    request.method = to_view(message.method_string());
+    const auto target = to_view(message.target());
+    const auto question = std::min(target.find('?'), target.size());
+    request.path = target.substr(0, question);
+    if (question < target.size()) {
+        request.query = target.substr(question + 1);
+    }
+    for (const auto& field : message.base()) {
+        request.headers[to_lower(to_view(field.name_string()))] =
+            to_view(field.value());
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace
+
+class http_server::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context& context, const http_server_limits& limits)
+        : context_(context),
+          limits_(limits),
+          acceptor_(asio::make_strand(context)),
+          accept_timer_(acceptor_.get_executor())
+    {
+    }
+
+    auto route(std::string method, const std::string& pattern,
+               http_handler handler) -> void
+    {
+        routes_.push_back(
+            {std::move(method), split_path(pattern), std::move(handler)});
+    }
+
+    auto listen(const tcp::endpoint& endpoint) -> tcp::endpoint
+    {
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.bind(endpoint);
+        acceptor_.listen();
+        const auto bound = acceptor_.local_endpoint();
+        asio::post(acceptor_.get_executor(),
+                   [self = shared_from_this()] { self->accept(); });
+        return bound;
+    }
+
+    auto stop() -> void;
+
+    /// Calls the handler for the request, or replies itself.
+    auto dispatch(http_request request, const http_reply& reply) -> void
+    {
+        const auto path = split_path(request.path);
+        auto is_known_path = false;
+        for (const auto& entry : routes_) {
+            auto parameters = entry.match(path);
+            if (!parameters) {
+                continue;
+            }
+            is_known_path = true;
+            if (entry.method == request.method) {
+                request.parameters = std::move(*parameters);
+                call(entry.handler, request, reply);
+                return;
+            }
+        }
+        reply(is_known_path ? http_error(405, "the method is not allowed here")
+                            : http_error(404, "there is no such path"));
+    }
+
+    [[nodiscard]] auto limits() const noexcept -> const http_server_limits&
+    {
+        return limits_;
+    }
+
+    auto on_closed() noexcept -> void { --connections_; }
+
+    [[nodiscard]] auto is_stopped() const noexcept -> bool
+    {
+        return is_stopped_;
+    }
+
+private:
+    class session;
+
+    auto accept() -> void;
+
+    static auto call(const http_handler& handler, const http_request& request,
+                     const http_reply& reply) -> void
+    {
+        try {
+            handler(request, reply);
+        } catch (const std::exception& fault) {
+            log_event("http_handler_failed", event_severity::error)
+                .field("path", request.path)
+                .field("reason", fault.what());
+            reply(http_error(500, "the request failed; see the log"));
+        }
+    }
+
+    asio::io_context& context_;
+    http_server_limits limits_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
+    std::vector<route_entry> routes_;
+    std::atomic<std::size_t> connections_ = 0;
+    std::atomic<bool> is_stopped_ = false;
+    std::mutex sessions_mutex_;
+    std::vector<std::weak_ptr<session>> sessions_;
+};
+
+/// One connection; runs on its own strand.
+class http_server::implementation::session
+    : public std::enable_shared_from_this<session>
+{
+public:
+    session(tcp::socket socket, std::shared_ptr<implementation> server)
+        : stream_(std::move(socket)),
+          timer_(stream_.get_executor()),
+          server_(std::move(server))
+    {
+    }
+    session(const session&) = delete;
+    auto operator=(const session&) -> session& = delete;
+    ~session() { server_->on_closed(); }
+
+    auto read() -> void
+    {
+        parser_.emplace();
+        parser_->header_limit(
+            static_cast<std::uint32_t>(server_->limits().header_bytes));
+        parser_->body_limit(server_->limits().body_bytes);
+        stream_.expires_after(server_->limits().transfer);
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](error_code error,
+                                                     std::size_t /*size*/) {
+                             self->on_read(error);
+                         });
+    }
+
+    auto close() -> void
+    {
+        asio::post(stream_.get_executor(), [self = shared_from_this()] {
+            self->timer_.cancel();
+            self->stream_.close();
+        });
+    }
+
+private:
+    auto on_read(error_code error) -> void
+    {
+        if (error == http::error::body_limit) {
+            is_last_ = true;
+            write(http_error(413, "the body is too large"));
+            return;
+        }
+        if (error == http::error::header_limit) {
+            is_last_ = true;
+            write(http_error(431, "the header is too large"));
+            return;
+        }
+        if (error || server_->is_stopped()) {
+            return;
+        }
+        is_last_ = !parser_->get().keep_alive();
+        const auto number = ++request_number_;
+        stream_.expires_never();
+        timer_.expires_after(server_->limits().handler);
+        timer_.async_wait(
+            [self = shared_from_this(), number](error_code failed) {
+                if (!failed) {
+                    self->answer(number,
+                                 http_error(504, "the request took too long"));
+                }
+            });
+        server_->dispatch(
+            convert(parser_->release()),
+            [weak = weak_from_this(), number,
+             executor = stream_.get_executor()](http_response response) {
+                asio::post(executor, [weak, number,
+                                      moved = std::move(response)]() mutable {
+                    if (const auto self = weak.lock()) {
+                        self->answer(number, std::move(moved));
+                    }
+                });
+            });
+    }
+
+    /// Sends the first response to a request and drops later ones.
+    auto answer(std::uint64_t number, http_response response) -> void
+    {
+        if (number != request_number_ || answered_ == number) {
+            return;
+        }
+        answered_ = number;
+        timer_.cancel();
+        write(std::move(response));
+    }
+
+    auto write(http_response response) -> void
+    {
+        response_.emplace();
+        response_->result(response.status);
+        response_->version(11);
+        response_->set(http::field::content_type, response.content_type);
+        for (const auto& [name, value] : response.headers) {
+            response_->set(name, value);
+        }
+        response_->body() = std::move(response.body);
+        response_->keep_alive(!is_last_);
+        response_->prepare_payload();
+        stream_.expires_after(server_->limits().transfer);
+        http::async_write(stream_, *response_,
+                          [self = shared_from_this()](error_code error,
+                                                      std::size_t /*size*/) {
+                              self->on_written(error);
+                          });
+    }
+
+    auto on_written(error_code error) -> void
+    {
+        if (error || server_->is_stopped()) {
+            return;
+        }
+        if (is_last_) {
+            auto ignored = error_code();
+            stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        read();
+    }
+
+    beast::tcp_stream stream_;
+    asio::steady_timer timer_;
+    std::shared_ptr<implementation> server_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<http::response<http::string_body>> response_;
+    std::uint64_t request_number_ = 0;
+    std::uint64_t answered_ = 0;
+    bool is_last_ = false;
+};
+
+auto http_server::implementation::accept() -> void
+{
+    acceptor_.async_accept(
+        asio::make_strand(context_),
+        [self = shared_from_this()](error_code error, tcp::socket socket) {
+            if (self->is_stopped_ || error == asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                self->accept_timer_.expires_after(accept_pause);
+                self->accept_timer_.async_wait([self](error_code failed) {
+                    if (!failed) {
+                        self->accept();
+                    }
+                });
+                return;
+            }
+            if (self->connections_ < self->limits_.connections) {
+                ++self->connections_;
+                const auto added =
+                    std::make_shared<session>(std::move(socket), self);
+                {
+                    const auto lock = std::lock_guard(self->sessions_mutex_);
+                    std::erase_if(self->sessions_, [](const auto& weak) {
+                        return weak.expired();
+                    });
+                    self->sessions_.push_back(added);
+                }
+                added->read();
+            }
+            self->accept();
+        });
+}
+
+auto http_server::implementation::stop() -> void
+{
+    if (is_stopped_.exchange(true)) {
+        return;
+    }
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        auto ignored = error_code();
+        self->acceptor_.close(ignored);
+        self->accept_timer_.cancel(ignored);
+    });
+    const auto lock = std::lock_guard(sessions_mutex_);
+    for (const auto& weak : sessions_) {
+        if (const auto open = weak.lock()) {
+            open->close();
+        }
+    }
+}
+
+http_server::http_server(asio::io_context& context, http_server_limits limits)
+    : implementation_(std::make_shared<implementation>(context, limits))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+auto http_server::route(std::string method, std::string pattern,
+                        http_handler handler) -> void
+{
+    implementation_->route(std::move(method), pattern, std::move(handler));
+}
+
+auto http_server::listen(const tcp::endpoint& endpoint) -> tcp::endpoint
+{
+    return implementation_->listen(endpoint);
+}
+
+auto http_server::stop() -> void
+{
+    implementation_->stop();
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/transport/peer_connection.cpp
@@ -0,0 +1,290 @@
+#include "peer_connection.hpp"
+
+#include <rhubarbrun/transport/event_log.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <mutex>
+#include <utility>
+
+namespace rhubarbrun::detail {
+
+namespace {
+
+/// Frames that one write gathers; a longer list would exceed IOV_MAX.
+constexpr auto most_gathered = std::size_t{64};
+/// How often the limits are checked within one heartbeat interval.
+constexpr auto checks_per_heartbeat = 4;
+
+} // namespace
+
+peer_connection::peer_connection(asio::ip::tcp::socket socket, link_side side,
+                                 const secret_key& key,
+                                 const peer_identity& self,
+                                 const peer_link_limits& limits,
+                                 connection_events events)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      limits_(limits),
+      events_(std::move(events)),
+      info_{link_id(), {},
+            0,         side == link_side::initiator,
+            {},        datagram_keys{0, key, key}},
+      handshake_(std::in_place, side, key, self, random_bytes(32)),
+      started_(clock::now()),
+      last_received_(started_),
+      last_sent_(started_)
+{
+}
+
+auto peer_connection::start() -> void
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->watch();
+        self->begin_handshake();
+    });
+}
+
+auto peer_connection::start(const asio::ip::tcp::endpoint& endpoint) -> void
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this(), endpoint] {
+        if (self->is_closed_) {
+            return;
+        }
+        self->watch();
+        self->socket_.async_connect(endpoint, [self](error_code error) {
+            if (error) {
+                self->shut("connect: " + error.message());
+            } else {
+                self->begin_handshake();
+            }
+        });
+    });
+}
+
+auto peer_connection::send(message_type type, std::string_view payload) -> bool
+{
+    if (payload.size() > frame_layout::max_payload) {
+        return false;
+    }
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        if (is_queue_closed_ || !writer_) {
+            return false;
+        }
+        if (queued_bytes_ + payload.size() <= limits_.send_queue) {
+            queue_.push_back(writer_->write(type, payload));
+            queued_bytes_ += queue_.back().size();
+            if (!std::exchange(is_writing_, true)) {
+                asio::post(socket_.get_executor(),
+                           [self = shared_from_this()] { self->write(); });
+            }
+            return true;
+        }
+        is_queue_closed_ = true;
+    }
+    close("the send queue is full");
+    return false;
+}
+
+auto peer_connection::close(std::string reason) -> void
+{
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), reason = std::move(reason)] {
+                   self->shut(reason);
+               });
+}
+
+auto peer_connection::begin_handshake() -> void
+{
+    if (is_closed_) {
+        return;
+    }
+    auto error = error_code();
+    socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    info_.remote = socket_.remote_endpoint(error);
+    if (error) {
+        shut("connect: " + error.message());
+        return;
+    }
+    send_raw(handshake_->hello());
+    read();
+}
+
+auto peer_connection::read() -> void
+{
+    socket_.async_read_some(
+        asio::buffer(input_),
+        [self = shared_from_this()](error_code error, std::size_t size) {
+            if (self->is_closed_) {
+                return;
+            }
+            if (error) {
+                self->shut(error == asio::error::eof ? "closed by the peer"
+                                                     : error.message());
+                return;
+            }
+            self->last_received_ = clock::now();
+            self->on_bytes(std::string_view(self->input_.data(), size));
+            if (!self->is_closed_) {
+                self->read();
+            }
+        });
+}
+
+auto peer_connection::on_bytes(std::string_view bytes) -> void
+{
+    try {
+        if (handshake_) {
+            on_handshake_bytes(bytes);
+        } else {
+            reader_->append(bytes);
+        }
+        if (reader_) {
+            deliver_frames();
+        }
+    } catch (const std::exception& fault) {
+        shut(std::string("internal fault: ") + fault.what());
+    }
+}
+
+auto peer_connection::on_handshake_bytes(std::string_view bytes) -> void
+{
+    auto answer = handshake_->receive(bytes);
+    if (!answer.empty()) {
+        send_raw(std::move(answer));
+    }
+    if (handshake_->fault() != handshake_fault::none) {
+        shut("handshake: " + std::string(to_string(handshake_->fault())));
+        return;
+    }
+    if (!handshake_->is_complete()) {
+        return;
+    }
+    auto link = handshake_->take();
+    handshake_.reset();
+    info_.peer = std::move(link.peer);
+    info_.version = link.version;
+    info_.datagrams = link.datagrams;
+    reader_.emplace(std::move(link.reader));
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        writer_.emplace(std::move(link.writer));
+    }
+    is_up_ = true;
+    if (const auto refusal = events_.on_up(shared_from_this());
+        !refusal.empty()) {
+        is_up_ = false;
+        shut(refusal);
+    }
+}
+
+auto peer_connection::deliver_frames() -> void
+{
+    while (!is_closed_) {
+        auto received = reader_->next();
+        if (!received) {
+            break;
+        }
+        if (received->type != message_type::heartbeat) {
+            events_.on_message(*this, received->type,
+                               std::move(received->payload));
+        }
+    }
+    if (!is_closed_ && reader_->fault() != frame_fault::none) {
+        shut("frame: " + std::string(to_string(reader_->fault())));
+    }
+}
+
+auto peer_connection::send_raw(std::string bytes) -> void
+{
+    const auto lock = std::lock_guard(queue_mutex_);
+    queued_bytes_ += bytes.size();
+    queue_.push_back(std::move(bytes));
+    if (!std::exchange(is_writing_, true)) {
+        asio::post(socket_.get_executor(),
+                   [self = shared_from_this()] { self->write(); });
+    }
+}
+
+auto peer_connection::write() -> void
+{
+    auto buffers = std::vector<asio::const_buffer>();
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        for (const auto& sent : in_flight_) {
+            queued_bytes_ -= sent.size();
+        }
+        in_flight_.clear();
+        if (is_closed_ || queue_.empty()) {
+            is_writing_ = false;
+            return;
+        }
+        const auto count = std::min(queue_.size(), most_gathered);
+        const auto end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
+        std::move(queue_.begin(), end, std::back_inserter(in_flight_));
+        queue_.erase(queue_.begin(), end);
+        last_sent_ = clock::now();
+    }
+    buffers.reserve(in_flight_.size());
+    for (const auto& bytes : in_flight_) {
+        buffers.emplace_back(asio::buffer(bytes));
+    }
+    asio::async_write(
+        socket_, buffers,
+        [self = shared_from_this()](error_code error, std::size_t /*size*/) {
+            if (error) {
+                self->shut("write: " + error.message());
+            } else {
+                self->write();
+            }
+        });
+}
+
+auto peer_connection::watch() -> void
+{
+    if (is_closed_) {
+        return;
+    }
+    const auto now = clock::now();
+    if (!is_up_ && now - started_ > limits_.setup) {
+        shut("setup: timed out");
+        return;
+    }
+    if (is_up_ && now - last_received_ > limits_.silence) {
+        shut("silent");
+        return;
+    }
+    auto is_idle = false;
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        is_idle = !is_writing_ && now - last_sent_ >= limits_.heartbeat;
+    }
+    if (is_up_ && is_idle) {
+        (void)send(message_type::heartbeat, {});
+    }
+    timer_.expires_after(limits_.heartbeat / checks_per_heartbeat);
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error) {
+            self->watch();
+        }
+    });
+}
+
+auto peer_connection::shut(const std::string& reason) -> void
+{
+    if (std::exchange(is_closed_, true)) {
+        return;
+    }
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        is_queue_closed_ = true;
+        queue_.clear();
+    }
+    auto ignored = error_code();
+    timer_.cancel(ignored);
+    socket_.close(ignored);
+    events_.on_closed(shared_from_this(), reason);
+}
+
+} // namespace rhubarbrun::detail
--- /dev/null
+++ b/src/transport/worker_pool.cpp
@@ -0,0 +1,56 @@
+#include <rhubarbrun/transport/worker_pool.hpp>
+
+#include <rhubarbrun/transport/event_log.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+
+namespace rhubarbrun::inline v1 {
+
+worker_pool::worker_pool(std::size_t threads)
+    : work_(asio::make_work_guard(context_))
+{
+    const auto count = std::max(threads, std::size_t{1});
+    threads_.reserve(count);
+    for (auto index = std::size_t{0}; index < count; ++index) {
+        threads_.emplace_back([this] { run(); });
+    }
+}
+
+worker_pool::~worker_pool()
+{
+    stop();
+}
+
+auto worker_pool::stop() -> void
+{
+    work_.reset();
+    context_.stop();
+    for (auto& thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+}
+
+auto worker_pool::run() -> void
+{
+    while (!context_.stopped()) {
+        try {
+            context_.run();
+        } catch (const std::exception& fault) {
+            // One handler's fault must not end the service of all others.
+            log_event("handler_failed", event_severity::error)
+                .field("reason", fault.what());
+        }
+    }
+}
+
+auto steady_now() noexcept -> time_point
+{
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+} // namespace rhubarbrun::inline v1
