--- a/include/rhubarbrun/transport/json.hpp
+++ b/include/rhubarbrun/transport/json.hpp
@@ -46,6 +46,9 @@
     /// The number, or 0 if this is no number.
     [[nodiscard]] auto number() const noexcept -> std::int64_t;
 
+    /// The truth value, or false if this is none.
+    [[nodiscard]] auto truth() const noexcept -> bool;
+
     /// The elements, or none if this is no array.
     [[nodiscard]] auto elements() const -> const array&;
 
--- a/src/transport/json.cpp
+++ b/src/transport/json.cpp
@@ -278,6 +278,12 @@
     return value == nullptr ? 0 : *value;
 }
 
+auto json_value::truth() const noexcept -> bool
+{
+    const auto* const value = std::get_if<bool>(&content_);
+    return value != nullptr && *value;
+}
+
 auto json_value::elements() const -> const array&
 {
     static const auto none = array();
--- a/src/transport/proxy_node_http.cpp
+++ b/src/transport/proxy_node_http.cpp
@@ -251,11 +251,11 @@
         result["control"] = std::move(contact);
         result["entry"] = describe(entry_->status());
         result["directory"] = describe_directory(*control_->view());
-        auto owned = json_value::array{};
+        auto targets = json_value::array{};
         for (const auto& status : statuses) {
-            owned.push_back(describe(status));
+            targets.push_back(describe(status));
         }
-        result["owned_targets"] = std::move(owned);
+        result["owned_targets"] = std::move(targets);
         reply(json_response(result));
     });
 }
