--- a/include/rhubarbrun/coordination/control_coordinator.hpp
+++ b/include/rhubarbrun/coordination/control_coordinator.hpp
@@ -27,6 +27,9 @@
     /// After a leader starts, targets are not moved between live proxies for
     /// this long, as proxies may only just be joining.
     duration settling_time = std::chrono::seconds(5);
+    /// After a leader starts, targets without an owner wait this long, so
+    /// that more than the first proxy that renews can get them.
+    duration join_wait = std::chrono::milliseconds(600);
     /// A command that was proposed but not applied is proposed again.
     duration retry_interval = std::chrono::seconds(2);
     /// How long a target avoids the proxy that released it unasked.
@@ -93,36 +96,55 @@
 
 private:
     [[nodiscard]] auto lease_length() const -> duration;
-    auto on_registered(time_point now, const proxy_identity& proxy) -> void;
-    auto on_drained(time_point now, const proxy_id& proxy) -> void;
-    auto on_target_changed(time_point now, const target_id& target) -> void;
+    auto add_to_plan(time_point now, const proxy_record& proxy) -> void;
+    auto on_changes(time_point now) -> void;
+    auto on_proxy_changed(time_point now, const proxy_record& proxy) -> void;
     auto on_released(time_point now, const release_target_command& command)
         -> void;
     auto on_expired(time_point now, const proxy_identity& proxy) -> void;
-    auto settle_if_free(time_point now, const proxy_identity& proxy) -> void;
-    auto sync_all_targets(time_point now) -> void;
+    auto settle_free_proxies() -> void;
+    [[nodiscard]] auto holds_target(const proxy_identity& proxy) const -> bool;
     auto sync_target(const target_id& target) -> void;
     auto schedule(const target_id& target, time_point due) -> void;
+    auto schedule_unplaced(time_point now) -> void;
     auto evaluate(time_point now, const target_id& target)
         -> std::optional<control_command>;
-    [[nodiscard]] auto usable(const std::optional<proxy_identity>& proxy) const
-        -> bool;
+    auto evaluate_unowned(time_point now, const target_record& record)
+        -> std::optional<control_command>;
+    auto evaluate_expired(time_point now, const target_record& record)
+        -> std::optional<control_command>;
+    auto evaluate_owned(time_point now, const target_record& record)
+        -> std::optional<control_command>;
+    auto place(time_point now, const target_id& target)
+        -> std::optional<proxy_identity>;
+    [[nodiscard]] auto needs_owner(const target_record& record) const -> bool;
+    [[nodiscard]] auto
+    is_usable(const std::optional<proxy_identity>& proxy) const -> bool;
+    auto take_moves(time_point now) -> void;
+    auto evaluate_due(time_point now, std::vector<control_command>& out)
+        -> void;
     auto forget_proxies(time_point now, std::vector<control_command>& out)
         -> void;
-    auto plan_moves(time_point now) -> void;
 
     const control_state* state_;
     coordinator_options options_;
     lease_table leases_;
     ownership plan_;
     target_liveness liveness_;
+    /// Index of the state up to which changes were taken note of.
+    log_index seen_;
     /// Targets to look at, by time and by name.
     std::set<std::pair<time_point, target_id>> due_;
     std::map<target_id, time_point> due_at_;
+    /// Targets that found no proxy; looked at when one joins.
+    std::set<target_id> unplaced_;
+    /// Proxies with an expired lease that may still own targets.
+    std::set<proxy_identity> blocked_;
     /// Proxies without a lease, by the time when they are removed.
     std::set<std::pair<time_point, proxy_identity>> absent_;
+    /// Targets without an owner wait until then for proxies to renew.
+    time_point placing_from_;
     time_point next_moves_;
-    bool may_move_ = false;
     std::uint64_t evaluations_ = 0;
 };
 
--- a/include/rhubarbrun/coordination/lease_table.hpp
+++ b/include/rhubarbrun/coordination/lease_table.hpp
@@ -13,6 +13,11 @@
 
 namespace rhubarbrun::inline v1 {
 
+namespace detail {
+/// Defined by tests alone, to plant faults that their checks must catch.
+struct lease_test_access;
+} // namespace detail
+
 /// Leader side of the leases: when each proxy's lease expires.
 ///
 /// One lease per proxy covers all targets that it owns. A lease that has
@@ -41,12 +46,12 @@
 
     /// Adds a proxy that has registered, with a lease from `now`. An earlier
     /// incarnation keeps its lease until that expires.
-    auto admit(time_point now, duration lease, const proxy_identity& proxy,
+    auto admit(time_point now, duration length, const proxy_identity& proxy,
                log_index applied) -> void;
 
     /// Answers a request. Grants only with the leader lease, that is while
     /// consensus rules out that there is another leader.
-    auto renew(time_point now, duration lease, bool has_leader_lease,
+    auto renew(time_point now, duration length, bool has_leader_lease,
                const lease_request& request, log_index applied) -> lease_answer;
 
     /// Proxies whose lease has expired since the last call. From then on they
@@ -57,6 +62,10 @@
     /// `applied`, it owns nothing.
     auto settle(const proxy_identity& proxy, log_index applied) -> void;
 
+    /// Takes back `settle`, before a target is taken from a proxy without a
+    /// live lease.
+    auto block(const proxy_identity& proxy) -> void;
+
     /// Forgets a proxy.
     auto remove(const proxy_identity& proxy) -> void;
 
@@ -70,6 +79,8 @@
     [[nodiscard]] auto next_expiry() const -> std::optional<time_point>;
 
 private:
+    friend struct detail::lease_test_access;
+
     enum class lease_phase : std::uint8_t
     {
         live,
@@ -79,18 +90,18 @@
         settled,
     };
 
-    struct entry
+    struct lease
     {
         lease_phase phase = lease_phase::live;
         time_point expires_at;
         log_index required_index;
     };
 
-    auto extend(const proxy_identity& proxy, entry& lease, time_point until)
+    auto extend(const proxy_identity& proxy, lease& known, time_point until)
         -> void;
 
     bool is_leading_ = false;
-    std::map<proxy_identity, entry> entries_;
+    std::map<proxy_identity, lease> leases_;
     /// Live leases by expiry.
     std::set<std::pair<time_point, proxy_identity>> expiries_;
 };
--- a/include/rhubarbrun/coordination/ownership.hpp
+++ b/include/rhubarbrun/coordination/ownership.hpp
@@ -79,6 +79,12 @@
     auto place(time_point now, const target_id& target)
         -> std::optional<proxy_identity>;
 
+    /// Whether `plan_moves` has zones to look at.
+    [[nodiscard]] auto has_changed() const noexcept -> bool
+    {
+        return !changed_zones_.empty();
+    }
+
     /// Plans at most `limit` moves that bring targets home to their zone,
     /// even out the load or separate the servers of a group. Looks only at
     /// zones in which something changed.
@@ -133,6 +139,17 @@
     auto forget_departures(time_point now) -> void;
     auto plan_zone(time_point now, const zone_id& zone, std::size_t limit,
                    std::vector<ownership_move>& moves) -> bool;
+    auto plan_better_places(time_point now, const zone_id& zone,
+                            std::size_t limit,
+                            std::vector<ownership_move>& moves) -> bool;
+    auto plan_even_load(time_point now, const zone_id& zone, std::size_t limit,
+                        std::vector<ownership_move>& moves) -> bool;
+    [[nodiscard]] auto find_evening_move(time_point now,
+                                         const zone_id& zone) const
+        -> std::optional<ownership_move>;
+    [[nodiscard]] auto pick_movable(time_point now, const member& from,
+                                    const member& to) const
+        -> std::optional<target_id>;
 
     ownership_options options_;
     std::map<proxy_id, member> members_;
--- a/include/rhubarbrun/coordination/target_liveness.hpp
+++ b/include/rhubarbrun/coordination/target_liveness.hpp
@@ -52,19 +52,40 @@
 private:
     struct observation
     {
-        time_point heard_at;
+        time_point heard_at = time_point::min();
+        /// When the newest announcement that it leaves was heard.
         std::optional<time_point> left_at;
+        /// Not yet in the state.
         std::optional<target_description> description;
+        /// When the announcement with the description was heard, and when it
+        /// was accepted.
+        time_point described_as_of = time_point::min();
         time_point described_at = time_point::min();
-        time_point due;
+        time_point due = time_point::min();
     };
 
-    [[nodiscard]] static auto ttl(const control_state& state) -> duration;
+    /// A target that was not heard for this long is gone.
+    [[nodiscard]] static auto silence_limit(const control_state& state)
+        -> duration;
+    [[nodiscard]] static auto take(time_point now, time_point heard_at,
+                                   const heard_target& heard, observation& seen)
+        -> bool;
+    static auto drop_useless_description(observation& seen,
+                                         const target_record* record,
+                                         const control_state& state) -> void;
+    static auto add_presence(const observation& seen,
+                             const target_record* record,
+                             std::vector<target_change>& out) -> void;
+    [[nodiscard]] static auto
+    evaluate_forgetting(time_point now, const target_record& record,
+                        const control_state& state,
+                        std::vector<target_change>& out) -> time_point;
+    [[nodiscard]] static auto
+    evaluate(time_point now, observation& seen, const target_record* record,
+             const control_state& state, std::vector<target_change>& out)
+        -> std::optional<time_point>;
     auto schedule(const target_id& id, observation& seen, time_point due)
         -> void;
-    auto evaluate(time_point now, const target_id& id, observation& seen,
-                  const control_state& state, std::vector<target_change>& out)
-        -> bool;
 
     std::map<target_id, observation> seen_;
     std::set<std::pair<time_point, target_id>> due_;
--- a/include/rhubarbrun/state/bundle.hpp
+++ b/include/rhubarbrun/state/bundle.hpp
@@ -93,7 +93,7 @@
     /// Largest part of the queue that one caller may fill.
     std::int64_t caller_percent = 25;
     /// Largest result that is buffered for one session.
-    std::int64_t session_result_bytes = 16 * 1024 * 1024;
+    std::int64_t session_result_bytes = 16'777'216;
 
     friend auto operator==(const group_limits&, const group_limits&)
         -> bool = default;
@@ -181,7 +181,7 @@
 inline constexpr std::size_t most_groups = 2000;
 /// Of an operator, group or database name; the limit of PostgreSQL names.
 inline constexpr std::size_t longest_name = 63;
-inline constexpr std::size_t longest_text = 4U * 1024 * 1024;
+inline constexpr std::size_t longest_text = 4'194'304;
 } // namespace bundle_limits
 
 /// Describes one numeric option of a bundle, for checks and documentation.
--- a/include/rhubarbrun/state/bundle_parse.hpp
+++ b/include/rhubarbrun/state/bundle_parse.hpp
@@ -3,6 +3,7 @@
 
 #include <rhubarbrun/state/bundle.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,8 +18,8 @@
     std::uint32_t line = 1;
     std::uint32_t column = 1;
 
-    friend auto operator<=>(const source_position&,
-                            const source_position&) = default;
+    friend auto operator<=>(const source_position&, const source_position&)
+        -> std::strong_ordering = default;
 };
 
 /// A fault in the text of a bundle.
--- a/include/rhubarbrun/state/control_state.hpp
+++ b/include/rhubarbrun/state/control_state.hpp
@@ -4,6 +4,7 @@
 #include <rhubarbrun/state/control_command.hpp>
 #include <rhubarbrun/state/directory_records.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -15,6 +16,11 @@
 
 namespace rhubarbrun::inline v1 {
 
+namespace detail {
+/// Defined by tests alone, to plant faults that their checks must catch.
+struct state_test_access;
+} // namespace detail
+
 /// How far a bundle has come.
 enum class bundle_stage : std::uint8_t
 {
@@ -181,6 +187,9 @@
     [[nodiscard]] auto find_proxy(const proxy_id& id) const
         -> const proxy_record*;
 
+    /// Whether a later incarnation of the proxy has registered.
+    [[nodiscard]] auto is_superseded(const proxy_identity& proxy) const -> bool;
+
     /// Targets that any incarnation of `id` owns or will own next.
     [[nodiscard]] auto targets_held_by(const proxy_id& id) const
         -> const std::set<target_id>&;
@@ -196,6 +205,8 @@
     }
 
 private:
+    friend struct detail::state_test_access;
+
     enum class record_kind : std::uint8_t
     {
         bundle,
@@ -210,7 +221,8 @@
         record_kind kind;
         std::string name;
 
-        friend auto operator<=>(const change_key&, const change_key&) = default;
+        friend auto operator<=>(const change_key&, const change_key&)
+            -> std::strong_ordering = default;
 
         template <class Archive>
         auto serialize(Archive& archive) -> void
@@ -232,18 +244,22 @@
     auto run(const release_target_command& command) -> command_result;
     auto run(const set_primary_command& command) -> command_result;
 
-    template <class Archive>
-    auto serialize(Archive& archive) -> void;
+    template <class Archive, class Self>
+    static auto archive_members(Archive& archive, Self& self) -> void;
 
+    [[nodiscard]] auto is_present(const change_key& key) const -> bool;
     auto touch(record_kind kind, const std::string& name) -> void;
     auto trim_removals() -> void;
     auto trim_records() -> void;
+    auto withdraw(bundle_record& record) -> void;
     auto withdraw_surplus_proposals() -> void;
-    auto put_in_force(const bundle& value, const bundle_digest& digest) -> void;
+    auto withdraw_obsolete_proposals() -> void;
+    auto put_in_force(const bundle_record& record) -> void;
     auto replace_groups(const bundle& value) -> void;
-    auto apply_change(const target_change& change) -> bool;
-    auto announce(const target_description& description) -> bool;
-    auto set_presence(target_record& record, target_presence presence) -> bool;
+    auto apply_change(const target_change& change) -> void;
+    auto announce(const target_description& description) -> void;
+    auto forget_target(const target_record& record) -> void;
+    [[nodiscard]] auto is_primary(const target_record& record) const -> bool;
     auto erase_target(const target_id& id) -> void;
     auto set_holders(target_record& record,
                      const std::optional<proxy_identity>& owner,
@@ -254,9 +270,9 @@
     [[nodiscard]] auto is_operator(const operator_id& id) const -> bool;
     [[nodiscard]] auto check_assignable(const proxy_identity& proxy) const
         -> command_status;
-    [[nodiscard]] auto
-    is_claim_allowed(const group_record& group,
-                     const set_primary_command& command) const -> bool;
+    [[nodiscard]] auto check_claim(const group_record& group,
+                                   const set_primary_command& command) const
+        -> command_status;
     [[nodiscard]] auto complete_delta() const -> directory_delta;
     auto add_change(directory_delta& delta, const change_key& key) const
         -> void;
--- a/include/rhubarbrun/state/directory.hpp
+++ b/include/rhubarbrun/state/directory.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rhubarbrun::inline v1 {
 
@@ -83,7 +84,7 @@
 
 private:
     auto clear() -> void;
-    auto put(const group_record& record) -> void;
+    auto put_groups(const std::vector<group_record>& records) -> void;
     auto put(const target_record& record) -> void;
     auto erase_group(const group_id& id) -> void;
     auto erase_target(const target_id& id) -> void;
--- a/include/rhubarbrun/state/directory_records.hpp
+++ b/include/rhubarbrun/state/directory_records.hpp
@@ -8,6 +8,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,8 +22,8 @@
     proxy_id id;
     incarnation run;
 
-    friend auto operator<=>(const proxy_identity&,
-                            const proxy_identity&) = default;
+    friend auto operator<=>(const proxy_identity&, const proxy_identity&)
+        -> std::strong_ordering = default;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
