--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -118,8 +118,9 @@
         {"dbname", options.database},
         {"user", options.user},
         {"password", options.password},
-        // The account's own password file is no part of the settings.
-        {"passfile", "/dev/null"},
+        // The account's own password file is no part of the settings. libpq
+        // warns of a file that is not plain, but not of a missing one.
+        {"passfile", "/dev/null/none"},
         {"application_name", options.application_name},
         {"client_encoding", "UTF8"},
         {"sslmode", "disable"},
