--- a/src/coordination/consensus_core.hpp
+++ b/src/coordination/consensus_core.hpp
@@ -170,10 +170,10 @@
     member_identity self_;
     consensus_options options_;
     random_function random_;
-    entry_log log_;
     hard_state state_;
     /// As handed out last.
     hard_state saved_state_;
+    entry_log log_;
 
     consensus_role role_ = consensus_role::follower;
     std::optional<member_identity> leader_;
