--- a/include/rhubarbrun/coordination/admission.hpp
+++ b/include/rhubarbrun/coordination/admission.hpp
@@ -75,7 +75,7 @@
     /// Shares of slot time, by class, while every class has work waiting.
     /// Order entry gets nearly everything that it asks for; the others keep
     /// enough to go on.
-    std::array<std::uint32_t, work_class_count> weights{96, 3, 1};
+    std::array<std::uint32_t, work_class_count> weights{195, 4, 1};
     /// Statements of open transactions that go ahead of new work of their
     /// class in a row.
     std::uint32_t pinned_in_row = 4;
--- a/include/rhubarbrun/coordination/replica_choice.hpp
+++ b/include/rhubarbrun/coordination/replica_choice.hpp
@@ -33,8 +33,8 @@
 enum class read_target : std::uint8_t
 {
     replica,
-    /// The replica is expected to be fit within `wait`; its owner checks again
-    /// and answers `not_run` if it is not.
+    /// The replica is expected to be fit soon; its owner waits for up to `wait`
+    /// and answers `not_run` if it still is not.
     replica_after_wait,
     primary,
 };
@@ -82,9 +82,11 @@
     random_function random;
 };
 
-/// Default selector: the nearest zone whose load is acceptable, and in it the
-/// less loaded of two drawn at random, so that proxies with the same reports
-/// do not all choose the same replica.
+/// Default selector: the nearest replicas that are not overloaded, and of them
+/// the one with the fewest reads of this proxy that are not answered; equal
+/// ones are drawn at random. Reported loads only tell overloaded replicas
+/// apart: proxies that follow the same reports more closely choose the same
+/// replica, which costs more than it saves.
 [[nodiscard]] auto
 select_replica(const std::vector<replica_candidate>& candidates,
                const random_function& random) -> std::size_t;
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -18,6 +18,11 @@
     return static_cast<std::size_t>(priority);
 }
 
+/// Time set aside for a statement, as a multiple of its mean. With the mean
+/// alone, every second statement at the end of a full queue was answered too
+/// late, which cost a tenth of the goodput at four times capacity.
+constexpr auto time_set_aside = 3;
+
 /// Latest time at which the statement must start to be answered in time.
 /// A wrong estimate must not keep a statement from ever running and thus from
 /// being measured again, so at most half of the time left is set aside.
@@ -26,7 +31,7 @@
 {
     const auto time_left = std::max(request.deadline - now, duration{});
     return request.deadline -
-           std::min(request.estimate.expected, time_left / 2);
+           std::min(time_set_aside * request.estimate.expected, time_left / 2);
 }
 
 } // namespace
@@ -205,7 +210,7 @@
 
 auto admission_queue::next_deadline() const -> std::optional<time_point>
 {
-    if (earliest_refusal_ == time_point::max()) {
+    if (!options_.use_deadlines || earliest_refusal_ == time_point::max()) {
         return std::nullopt;
     }
     return earliest_refusal_;
--- a/src/coordination/replica_choice.cpp
+++ b/src/coordination/replica_choice.cpp
@@ -11,20 +11,23 @@
 /// region vary by about this much.
 constexpr auto same_distance = duration(std::chrono::milliseconds(2));
 
-/// A nearer replica is left for a farther one when it has more than this many
-/// statements per slot; with fewer, waiting costs less than the distance.
-constexpr auto acceptable_load_per_slot = 2U;
+/// A replica is overloaded when it has this many statements per slot. Four
+/// short reads of about 4 ms take as long as the way to another region; with
+/// two, stale reports excluded replicas that were free again.
+constexpr auto acceptable_load_per_slot = 4U;
 
-/// Added to the estimated wait, which is below the truth half of the time.
-constexpr auto wait_margin = duration(std::chrono::milliseconds(5));
+auto is_acceptable(const replica_candidate& candidate) -> bool
+{
+    return candidate.load < acceptable_load_per_slot * candidate.slots;
+}
 
-/// Candidates of the nearest distance that is not overloaded, or all.
+/// The nearest candidates that are not overloaded, or all if all are.
 auto nearest_acceptable(const std::vector<replica_candidate>& candidates)
     -> std::vector<std::size_t>
 {
     auto nearest = duration::max();
     for (const auto& each : candidates) {
-        if (each.load < acceptable_load_per_slot * each.slots) {
+        if (is_acceptable(each)) {
             nearest = std::min(nearest, each.distance);
         }
     }
@@ -32,33 +35,33 @@
     for (auto index = std::size_t{0}; index < candidates.size(); ++index) {
         const auto& each = candidates.at(index);
         if (nearest == duration::max() ||
-            each.distance - nearest < same_distance) {
+            (is_acceptable(each) && each.distance - nearest < same_distance))
+        {
             result.push_back(index);
         }
     }
     return result;
 }
 
-auto is_less_loaded(const replica_candidate& left,
-                    const replica_candidate& right) -> bool
-{
-    return std::uint64_t{left.load} * right.slots <
-           std::uint64_t{right.load} * left.slots;
-}
-
 } // namespace
 
 auto select_replica(const std::vector<replica_candidate>& candidates,
                     const random_function& random) -> std::size_t
 {
-    const auto near = nearest_acceptable(candidates);
-    const auto draw = [&] {
-        return random ? near.at(random() % near.size()) : near.front();
-    };
-    const auto first = draw();
-    const auto second = draw();
-    return is_less_loaded(candidates.at(second), candidates.at(first)) ? second
-                                                                       : first;
+    auto best = std::vector<std::size_t>{};
+    for (const auto index : nearest_acceptable(candidates)) {
+        const auto outstanding = candidates.at(index).outstanding;
+        const auto least = best.empty()
+                               ? outstanding
+                               : candidates.at(best.front()).outstanding;
+        if (outstanding < least) {
+            best.clear();
+        }
+        if (outstanding <= least) {
+            best.push_back(index);
+        }
+    }
+    return random ? best.at(random() % best.size()) : best.front();
 }
 
 replica_choice::replica_choice(replica_choice_options options)
@@ -184,6 +187,9 @@
     }
     if (best.target) {
         note_sent(*best.target);
+        // The estimate is below the truth half of the time, and a read that is
+        // sent back costs more than one that waits on.
+        best.wait = options_.longest_wait;
     }
     return best;
 }
@@ -209,8 +215,10 @@
         history_.likely_lag(entry.report.replayed_at, entry.report.replayed);
     const auto written =
         history_.likely_time(*requirements.floor).value_or(now);
-    const auto wait = std::max(written + lag - now, duration{}) + wait_margin;
-    if (wait > options_.longest_wait || now + wait >= requirements.deadline) {
+    const auto wait = std::max(written + lag - now, duration{});
+    if (wait > options_.longest_wait ||
+        now + options_.longest_wait >= requirements.deadline)
+    {
         return std::nullopt;
     }
     return wait;
--- a/tests/coordination/admission_test.cpp
+++ b/tests/coordination/admission_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <numeric>
 #include <random>
 #include <set>
 
@@ -237,9 +238,10 @@
         CHECK(error.retry_after >= options.shortest_hint);
         hints.insert(error.retry_after);
     }
-    // 100 ms hold ten statements of 10 ms in each of three slots.
-    CHECK(accepted > 20);
-    CHECK(accepted <= 30);
+    // 100 ms, less three times the mean set aside, hold seven statements of
+    // 10 ms in each of three slots, of which the first are running.
+    CHECK(accepted >= 18);
+    CHECK(accepted <= 21);
     // Callers with the same hint would return together.
     CHECK(hints.size() > 60);
 }
@@ -285,20 +287,31 @@
                             statement_length::short_running, 10s))));
 }
 
+/// Whether each class got at least nine tenths of its configured share.
+auto is_no_class_starved(const std::vector<double>& shares) -> bool
+{
+    const auto weights = admission_options{}.weights;
+    const auto sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    auto result = true;
+    for (auto index = std::size_t{0}; index < weights.size(); ++index) {
+        const auto configured = weights.at(index) / sum;
+        result = result && shares.at(index) >= 0.9 * configured;
+    }
+    return result;
+}
+
 TEST_CASE("order entry goes first, and no class starves")
 {
     const auto shares = saturated_shares({}, class_kinds());
-    CHECK(shares.at(0) > 0.90);
-    CHECK(shares.at(1) > 0.02);
-    CHECK(shares.at(2) > 0.005);
+    CHECK(shares.at(0) > 0.95);
+    CHECK(is_no_class_starved(shares));
 }
 
 TEST_CASE("the share check sees strict priority")
 {
     auto options = admission_options{};
     options.fault = admission_fault::strict_priority;
-    const auto shares = saturated_shares(options, class_kinds());
-    CHECK_FALSE(shares.at(1) > 0.02);
+    CHECK_FALSE(is_no_class_starved(saturated_shares(options, class_kinds())));
 }
 
 TEST_CASE("neither a caller nor a database takes all")
--- a/tests/coordination/replica_choice_test.cpp
+++ b/tests/coordination/replica_choice_test.cpp
@@ -201,8 +201,19 @@
         choice.on_report(now, report(near_two, at(10'000), now, 2));
         ++chosen[*choice.choose(now, read()).target];
     }
-    CHECK(chosen[near_one] > chosen[near_two]);
-    CHECK(chosen[near_two] >= 15);
+    CHECK(chosen[near_one] >= 35);
+    CHECK(chosen[near_two] >= 35);
+}
+
+TEST_CASE("an overloaded replica gets no reads while another is not")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(10'000), now, 12));
+    choice.on_report(now, report(near_two, at(10'000), now, 0));
+    for (auto count = 0; count < 5; ++count) {
+        CHECK(choice.choose(now, read()).target == near_two);
+    }
 }
 
 TEST_CASE("own reads count as load before the next report")
@@ -215,6 +226,6 @@
     for (auto count = 0; count < 40; ++count) {
         ++chosen[*choice.choose(now, read()).target];
     }
-    CHECK(chosen[near_one] <= 30);
-    CHECK(chosen[near_two] >= 10);
+    CHECK(chosen[near_one] == 20);
+    CHECK(chosen[near_two] == 20);
 }
