transport: finish a poll before anything else runs on its connection

Cause: a poll reads the log end and then the replicas. The handler of the first statement started another poll at once, so the second statement was never sent: no follower was ever seen, and no primary was claimed.

--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -270,6 +270,8 @@
     time_point state_asked_at_{};
     /// Replicas that streamed from this primary at the last poll.
     std::vector<target_id> followers_;
+    /// Any replica streamed from this server at the last poll.
+    bool has_streaming_replica_ = false;
     time_point last_poll_{};
     /// The role commands of this epoch and term that are done.
     bool has_terminated_older_ = false;
--- a/include/rhubarbrun/transport/target_monitor.hpp
+++ b/include/rhubarbrun/transport/target_monitor.hpp
@@ -98,6 +98,8 @@
     time_point next_connect_{};
     bool is_connecting_ = false;
     bool is_busy_ = false;
+    /// The handler of the last statement has started another one.
+    bool is_continued_ = false;
     bool is_poll_wanted_ = false;
     bool is_stopped_ = false;
 };
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -274,7 +274,9 @@
     }
     auto positions = replication_positions{poll->first.position, std::nullopt};
     followers_.clear();
+    has_streaming_replica_ = false;
     for (const auto& replica : poll->second) {
+        has_streaming_replica_ |= replica.state == "streaming";
         const auto name = target_id(replica.application_name);
         const auto* const known = view_->find_target(name);
         const auto is_member =
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -188,9 +188,10 @@
         return;
     }
     // A former primary that came back is not in recovery either, but no
-    // replica of its group streams from it.
+    // replica streams from it. Replicas have the names that the proxy knows
+    // only after they were told to follow a primary, so any name counts here.
     const auto is_alone = view_->targets_of(group_.config.id).size() < 2;
-    if (!is_alone && followers_.empty()) {
+    if (!is_alone && !has_streaming_replica_) {
         monitor_->request_poll();
         return;
     }
--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -210,15 +210,22 @@
                                  Handler handler) -> void
 {
     is_busy_ = true;
+    is_continued_ = true;
     connection_->run(std::move(body), limit,
                      [self = shared_from_this(), generation = generation_,
                       handler = std::move(handler)](target_result result) {
                          if (self->generation_ != generation) {
                              return;
                          }
-                         self->is_busy_ = false;
+                         // The handler may go on with a second statement of
+                         // the same operation; anything else has to wait.
+                         self->is_continued_ = false;
                          handler(result);
-                         if (self->is_connected() && !self->is_busy_) {
+                         if (self->is_continued_) {
+                             return;
+                         }
+                         self->is_busy_ = false;
+                         if (self->is_connected()) {
                              self->start_next(self->hooks_.now());
                          }
                      });
