coordination: do not charge owners' refusals to the retry budget

Cause: after kill -9 of a primary the new one was ready within 95 ms, but all waiting requests ended at their deadline as not run. Each refusal by an owner that was not ready yet took a retry from the budget, which was empty after 100 ms. Ruled out: detection (three refused probes, about 200 ms) and promotion. Reads that followed a write waited 50 ms for a replica whose position was only read every 100 ms.

--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -139,6 +139,8 @@
         /// It waits for a route.
         bool is_parked = false;
         time_point not_before{};
+        /// How often it was parked, for the pause before the next attempt.
+        unsigned parkings = 0;
         /// Until when a read waits for positions before it uses the primary.
         time_point position_limit{};
     };
@@ -210,7 +212,9 @@
                                     const target_record& target,
                                     const route& where) const
         -> execute_request;
-    auto park(session_id id, session_state& caller, duration pause) -> void;
+    auto park(session_id id, session_state& caller) -> void;
+    auto park_until(session_id id, session_state& caller, time_point when)
+        -> void;
     auto retry_parked(actions& todo) -> void;
     auto finish(session_id id, execute_reply reply, actions& todo) -> void;
     auto finish_with_error(session_id id, request_error error, actions& todo)
--- a/include/rhubarbrun/transport/target_monitor.hpp
+++ b/include/rhubarbrun/transport/target_monitor.hpp
@@ -56,6 +56,9 @@
     /// Polls the log end and the replicas as soon as the connection is free.
     auto request_poll() -> void;
 
+    /// Probes as soon as the connection is free instead of at the interval.
+    auto request_probe() -> void;
+
     /// Runs a command of the owner as soon as the connection is free; a
     /// connection that is not established fails it.
     auto run(statement body, duration limit, command_handler handler) -> void;
@@ -101,6 +104,7 @@
     /// The handler of the last statement has started another one.
     bool is_continued_ = false;
     bool is_poll_wanted_ = false;
+    bool is_probe_wanted_ = false;
     bool is_stopped_ = false;
 };
 
--- a/src/coordination/pending_requests.cpp
+++ b/src/coordination/pending_requests.cpp
@@ -43,7 +43,11 @@
     }
     if (!each.was_sent) {
         budget_.on_first_attempt();
-    } else if (!budget_.try_take()) {
+    } else if (each.may_have_run && !budget_.try_take()) {
+        // The budget keeps retries from multiplying the load of targets. A
+        // request that an owner refused has not loaded any; counting it too
+        // used the budget up within 100 ms of a failover, and everything that
+        // waited then ended at its deadline.
         return send_permission::no_budget;
     }
     each.was_sent = true;
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-/// Pause before a request is routed again after an owner refused it.
-constexpr auto reroute_pause = std::chrono::milliseconds(5);
+/// Pause before a request is routed again after an owner refused it; doubles
+/// with each refusal, as the owner may need some time to become ready.
+constexpr auto first_pause = std::chrono::milliseconds(2);
+constexpr auto most_doublings = 3U;
 /// Positions of one group are asked for at most this often.
 constexpr auto least_refresh_interval = std::chrono::milliseconds(20);
 
@@ -143,7 +145,7 @@
         send(id, caller, where, todo);
         break;
     case route::result::park:
-        park(id, caller, reroute_pause);
+        park(id, caller);
         break;
     case route::result::refuse:
         finish_with_error(id, *where.error, todo);
@@ -308,7 +310,7 @@
         return;
     }
     if (target == nullptr || !target->owner) {
-        park(id, caller, reroute_pause);
+        park(id, caller);
         return;
     }
     const auto is_local = target->owner->id == options_.self.id;
@@ -320,13 +322,13 @@
                                   : hooks_.find_link(target->owner->id);
     }
     if (!link || (is_local && !local)) {
-        park(id, caller, reroute_pause);
+        park(id, caller);
         return;
     }
     const auto permission = pending_.try_send(hooks_.now(), running.id, *link);
     if (permission != send_permission::granted) {
         // Past its deadline or out of retries; `tick` ends it.
-        park(id, caller, reroute_pause);
+        park(id, caller);
         return;
     }
     running.is_parked = false;
@@ -354,11 +356,17 @@
     });
 }
 
-auto entry_router::park(session_id id, session_state& caller, duration pause)
-    -> void
+auto entry_router::park(session_id id, session_state& caller) -> void
+{
+    const auto doublings = std::min(caller.running->parkings++, most_doublings);
+    park_until(id, caller, hooks_.now() + first_pause * (1U << doublings));
+}
+
+auto entry_router::park_until(session_id id, session_state& caller,
+                              time_point when) -> void
 {
     caller.running->is_parked = true;
-    caller.running->not_before = hooks_.now() + pause;
+    caller.running->not_before = when;
     parked_.insert(id);
 }
 
@@ -402,9 +410,11 @@
             }
             caller.running->must_use_primary |=
                 reply.reroute == reroute_hint::use_primary;
-            park(id, caller,
-                 caller.running->must_use_primary ? duration::zero()
-                                                  : reroute_pause);
+            if (reply.reroute == reroute_hint::use_primary) {
+                park_until(id, caller, hooks_.now());
+            } else {
+                park(id, caller);
+            }
             retry_parked(todo);
         } else if (const auto id = pending_.on_answer(reply.id, link)) {
             finish(*id, std::move(reply), todo);
@@ -612,7 +622,7 @@
                 std::find(loss.retries.begin(), loss.retries.end(),
                           caller.running->id) != loss.retries.end();
             if (is_retry) {
-                park(id, caller, duration::zero());
+                park_until(id, caller, hooks_.now());
             }
         }
         for (const auto& ending : loss.endings) {
--- a/src/transport/owned_target_jobs.cpp
+++ b/src/transport/owned_target_jobs.cpp
@@ -96,6 +96,8 @@
         last_ticket_ = last_ticket_.next();
         waiting_for_position_.push_back(last_ticket_);
         jobs_.emplace(last_ticket_, std::move(work));
+        // The known position is up to a probe interval old.
+        monitor_->request_probe();
         return;
     }
     admit(std::move(work));
@@ -477,6 +479,9 @@
 auto owned_target::expire_jobs(time_point now) -> void
 {
     retry_position_waiters(now);
+    if (!waiting_for_position_.empty()) {
+        monitor_->request_probe();
+    }
     for (const auto handle : acknowledger_.expire(now)) {
         fail(admission_ticket(handle),
              make_error(verdict::may_have_run,
--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -44,6 +44,14 @@
     }
 }
 
+auto target_monitor::request_probe() -> void
+{
+    is_probe_wanted_ = true;
+    if (is_connected() && !is_busy_) {
+        start_next(hooks_.now());
+    }
+}
+
 auto target_monitor::run(statement body, duration limit,
                          command_handler handler) -> void
 {
@@ -114,7 +122,7 @@
         start_command();
     } else if (is_poll_wanted_) {
         start_poll(now);
-    } else if (detector_.is_probe_due(now)) {
+    } else if (is_probe_wanted_ || detector_.is_probe_due(now)) {
         start_probe(now);
     }
 }
@@ -170,6 +178,7 @@
 
 auto target_monitor::start_probe(time_point now) -> void
 {
+    is_probe_wanted_ = false;
     detector_.on_probe_sent(now);
     run_guarded(server_state_query(), options_.detector.silence_limit,
                 [this, now](const target_result& result) {
--- a/tests/coordination/pending_requests_test.cpp
+++ b/tests/coordination/pending_requests_test.cpp
@@ -316,6 +316,18 @@
           verdict::may_have_run);
 }
 
+TEST_CASE("refusals of owners during a failover use up no retry budget")
+{
+    auto pending = pending_requests{};
+    constexpr auto refusals = 10 * retry_budget::most_retries_saved;
+    REQUIRE(pending.add(request(1)));
+    for (auto refusal = 0; refusal < refusals; ++refusal) {
+        REQUIRE(sent(pending, 1, 1));
+        REQUIRE(pending.on_not_run(request_id(1), link_id(1)));
+    }
+    CHECK(sent(pending, 1, 2));
+}
+
 TEST_CASE("a closed session gets no answer and its requests are cancelled")
 {
     auto pending = pending_requests();
--- a/tests/state/session_token_test.cpp
+++ b/tests/state/session_token_test.cpp
@@ -37,9 +37,12 @@
     auto token = session_token{};
     const auto group = group_id("orders");
     token.raise(group, {term(2), log_offset(10)});
-    token.raise(group, {term(1), log_offset(900)});
+    token.raise(group, {term(1), log_offset(9)});
     token.raise(group, {term(2), log_offset(9)});
     CHECK(token.floor(group) == log_position{term(2), log_offset(10)});
+    // A replica of term 2 may lack an offset of term 1, so both count.
+    token.raise(group, {term(1), log_offset(900)});
+    CHECK(token.floor(group) == log_position{term(2), log_offset(900)});
     CHECK_FALSE(token.floor(group_id("depots")));
 }
 
