--- a/include/rhubarbrun/state/consensus_log.hpp
+++ b/include/rhubarbrun/state/consensus_log.hpp
@@ -7,12 +7,12 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
@@ -28,8 +28,12 @@
     /// 0 stands for an incarnation that is not known.
     incarnation instance;
 
-    friend auto operator<=>(const member_identity&, const member_identity&)
-        -> std::strong_ordering = default;
+    friend auto operator<(const member_identity& left,
+                          const member_identity& right) -> bool
+    {
+        return std::tie(left.id, left.instance) <
+               std::tie(right.id, right.instance);
+    }
     friend auto operator==(const member_identity&, const member_identity&)
         -> bool = default;
 
