coordination: let waiting statements follow what is learned of their shape

Cause: reports that were queued before their shape had been measured kept counting as unproven and ran next to each other for many seconds.

Change: a request carries the key of its shape. When a statement of unproven shape overruns the bound or finishes, the waiting unproven ones of that shape take over what was learned, and new ones count as long while one overruns.

--- a/bench/experiment_server.cpp
+++ b/bench/experiment_server.cpp
@@ -45,6 +45,7 @@
     request.ticket = ticket;
     request.priority = work.priority;
     request.estimate = classes_.estimate(work.shape, work.hint);
+    request.shape = work.shape;
     request.caller = work.caller;
     request.database = "database";
     request.deadline = events_.now() + work.time_left;
--- a/bench/experiment_slot_sharing.cpp
+++ b/bench/experiment_slot_sharing.cpp
@@ -370,10 +370,11 @@
             "_" + std::to_string(std::lround(demand * percent)) + "_percent";
         const auto compare = [&](const std::string& other,
                                  const slot_meter& meter) {
-            const auto add = [&](const std::string& what, double value,
+            const auto add = [&](std::string what, double value,
                                  double baseline) {
-                results.add(figure{name, what + suffix + "_against_" + other,
-                                   value, other, baseline, ""});
+                what.append(suffix).append("_against_").append(other);
+                results.add(
+                    figure{name, std::move(what), value, other, baseline, ""});
             };
             add("slot_wait_mean_ms", own.delays().mean(),
                 meter.delays().mean());
--- a/include/rhubarbrun/coordination/admission.hpp
+++ b/include/rhubarbrun/coordination/admission.hpp
@@ -37,6 +37,9 @@
     std::optional<pin_id> pin;
     /// Set for a statement that is known to open a transaction.
     bool opens_transaction = false;
+    /// Key of the statement's shape; empty if it has none. What is learned of
+    /// a shape while it runs applies to the unproven ones that wait.
+    std::string shape;
 };
 
 /// How much of a target this owner may use.
@@ -213,6 +216,7 @@
         std::size_t index = 0;
         std::string caller;
         std::string database;
+        std::string shape;
         time_point started;
         duration charged{};
         statement_length length = statement_length::unproven;
@@ -312,6 +316,10 @@
                      const std::string& caller) -> void;
     auto count_length(statement_length length, std::int32_t change) -> void;
     auto mark_overruns(time_point now) -> void;
+    auto apply_known_overrun(time_point now, admission_request& request) const
+        -> void;
+    auto update_waiting(const std::string& shape, statement_estimate estimate)
+        -> void;
     auto refuse_late(time_point now) -> void;
 
     // Estimates.
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -47,6 +47,7 @@
 {
     mark_overruns(now);
     refuse_late(now);
+    apply_known_overrun(now, request);
     auto statement = waiting_statement{};
     statement.index = class_index(request);
     statement.order = ++arrivals_;
@@ -91,6 +92,7 @@
     running.index = statement.index;
     running.caller = std::move(request.caller);
     running.database = std::move(request.database);
+    running.shape = std::move(request.shape);
     running.started = now;
     running.charged = request.estimate.expected;
     running.length = request.estimate.length;
@@ -127,6 +129,10 @@
     count_length(statement.length, -1);
     charge(statement, measured - statement.charged);
     on_left_slot(statement);
+    if (statement.length == statement_length::unproven) {
+        update_waiting(statement.shape,
+                       {statement_length::short_running, measured});
+    }
 }
 
 auto admission_queue::on_left_slot(const running_statement& statement) -> void
@@ -270,17 +276,64 @@
     }
 }
 
+/// A shape that is known to be long only since it overran still comes as
+/// unproven from the classifier, which learns it at the end of the run.
+auto admission_queue::apply_known_overrun(time_point now,
+                                          admission_request& request) const
+    -> void
+{
+    if (request.estimate.length != statement_length::unproven ||
+        request.shape.empty())
+    {
+        return;
+    }
+    for (const auto& [ticket, statement] : running_) {
+        if (statement.length == statement_length::long_running &&
+            statement.shape == request.shape)
+        {
+            request.estimate = {
+                statement_length::long_running,
+                std::max(now - statement.started, options_.short_bound)};
+        }
+    }
+}
+
+auto admission_queue::update_waiting(const std::string& shape,
+                                     statement_estimate estimate) -> void
+{
+    if (shape.empty()) {
+        return;
+    }
+    auto changed = take_if([&shape](const auto& each) {
+        return each.request.shape == shape &&
+               each.request.estimate.length == statement_length::unproven;
+    });
+    for (auto& statement : changed) {
+        statement.request.estimate = estimate;
+        statement.index = class_index(statement.request);
+        enqueue(std::move(statement));
+    }
+}
+
 auto admission_queue::mark_overruns(time_point now) -> void
 {
+    auto overruns = std::vector<std::string>{};
     for (auto& [ticket, statement] : running_) {
         if (statement.length != statement_length::long_running &&
             now - statement.started > options_.short_bound)
         {
+            if (statement.length == statement_length::unproven) {
+                overruns.push_back(statement.shape);
+            }
             count_length(statement.length, -1);
             statement.length = statement_length::long_running;
             count_length(statement.length, 1);
         }
     }
+    for (const auto& shape : overruns) {
+        update_waiting(shape,
+                       {statement_length::long_running, options_.short_bound});
+    }
 }
 
 auto admission_queue::load() const noexcept -> std::uint32_t
--- a/tests/coordination/admission_model_test.cpp
+++ b/tests/coordination/admission_model_test.cpp
@@ -119,6 +119,7 @@
         request.database = std::to_string(second % 2);
         request.deadline = now_ + std::chrono::milliseconds(first);
         request.opens_transaction = second % 5 == 0;
+        request.shape = std::to_string(first % 7);
         if (is_pinned) {
             request.pin =
                 std::next(transactions_.begin(), first % transactions_.size())
--- a/tests/coordination/admission_test.cpp
+++ b/tests/coordination/admission_test.cpp
@@ -377,6 +377,30 @@
     CHECK(queue.snapshot().running_long == 1);
 }
 
+TEST_CASE("waiting statements follow what is learned of their shape")
+{
+    auto queue = admission_queue(limits);
+    const auto offer = [&](std::uint64_t ticket, time_point now) {
+        auto request = make_request(ticket, work_class::lookup,
+                                    statement_length::unproven);
+        request.shape = "report";
+        request.deadline = start + 1min;
+        return queue.offer(now, request);
+    };
+    REQUIRE(is_admitted(offer(1, start)));
+    REQUIRE(is_admitted(offer(2, start)));
+    REQUIRE(is_queued(offer(3, start)));
+    // Both overran; neither the one that waits nor a new one may join them.
+    CHECK(queue.expire(start + 200ms).empty());
+    CHECK(is_queued(offer(4, start + 200ms)));
+    queue.on_finished(start + 1s, admission_ticket(1), 1s);
+    CHECK_FALSE(queue.start_next(start + 1s));
+    CHECK(queue.snapshot().waiting.at(2) == 2);
+    queue.on_finished(start + 2s, admission_ticket(2), 2s);
+    CHECK(queue.start_next(start + 2s) == admission_ticket(3));
+    CHECK_FALSE(queue.start_next(start + 2s));
+}
+
 TEST_CASE("a cancelled statement is not started")
 {
     auto queue = busy_queue();
