bench: check stale reads against the true history

Cause: stale reads were counted against the session floor only, at the end of the read.

Change: counts a read that was served from data older than its floor or its accepted age allowed when it was sent.

--- a/bench/experiment_replica_reads.cpp
+++ b/bench/experiment_replica_reads.cpp
@@ -125,11 +125,9 @@
 
     /// Whether a replica truly holds, or will hold after the longest wait,
     /// what a read needs.
-    [[nodiscard]] auto is_replica_fit(log_offset by_age, log_offset floor) const
-        -> bool
+    [[nodiscard]] auto is_replica_fit(log_offset needed) const -> bool
     {
         const auto longest_wait = replica_choice_options{}.longest_wait;
-        const auto needed = std::max(by_age, floor);
         return std::any_of(
             servers_.begin(), servers_.end(), [&](const auto& each) {
                 return each.replayed >= needed ||
@@ -254,10 +252,12 @@
         auto& choice = choices_.at(proxy);
         const auto route = may_use_replicas_ ? choice.choose(sent, requirements)
                                              : read_route{};
-        const auto is_eligible = is_replica_fit(
-            requirements.max_age > duration{} ? written_at(sent - accepted_age)
-                                              : log_offset(0),
-            floor);
+        // What the read is entitled to see, by the true history.
+        const auto entitled =
+            requirements.max_age > duration{}
+                ? std::max(floor, written_at(sent - accepted_age))
+                : floor;
+        const auto is_eligible = is_replica_fit(entitled);
         if (sent >= time_point(warm_time)) {
             ++reads_;
             eligible_ += is_eligible ? 1U : 0U;
@@ -275,7 +275,7 @@
         const auto needed =
             choice.required_position(sent, requirements).value_or(at(floor));
         events_.after(distance(proxy), [=, this] {
-            at_replica(proxy, route, needed, floor, is_eligible, finish,
+            at_replica(proxy, route, needed, entitled, is_eligible, finish,
                        events_.now());
         });
     }
@@ -301,7 +301,7 @@
     /// The owner of the replica checks the position, waits if it was asked to,
     /// and otherwise sends the read back.
     auto at_replica(std::uint32_t proxy, const read_route& route,
-                    log_position needed, log_offset floor, bool is_eligible,
+                    log_position needed, log_offset entitled, bool is_eligible,
                     const std::function<void()>& finish, time_point arrived)
         -> void
     {
@@ -311,8 +311,8 @@
             if (events_.now() - arrived < route.wait) {
                 constexpr auto check_again = duration(1000);
                 events_.after(check_again, [=, this] {
-                    at_replica(proxy, route, needed, floor, is_eligible, finish,
-                               arrived);
+                    at_replica(proxy, route, needed, entitled, is_eligible,
+                               finish, arrived);
                 });
                 return;
             }
@@ -322,12 +322,13 @@
             });
             return;
         }
+        const auto replayed_before = server.replayed;
         server.server->submit(make_read([=, this](const auto& outcome) {
             const auto& now_server = servers_.at(index);
             if (outcome.has_run && events_.now() >= time_point(warm_time)) {
                 ++by_replica_;
                 eligible_by_replica_ += is_eligible ? 1U : 0U;
-                stale_ += now_server.replayed < floor ? 1 : 0;
+                stale_ += replayed_before < entitled ? 1 : 0;
             }
             const auto load = now_server.server->load();
             const auto replayed = at(now_server.replayed);
