--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,8 @@
 #include "experiment.hpp"
+#include "load_main.hpp"
+#include "target_main.hpp"
+
+#include <rhubarbrun/transport/event_log.hpp>
 
 #include <array>
 #include <exception>
@@ -18,6 +22,10 @@
 constexpr auto sub_commands = std::array{
     sub_command{"experiment", rhubarbrun::bench::run_experiments,
                 "measure the decisions of the data path in virtual time"},
+    sub_command{"load", run_load,
+                "run sessions through proxies and check their records"},
+    sub_command{"target", run_target,
+                "stand in for a database server of a group"},
 };
 
 constexpr auto usage_error = 2;
@@ -34,6 +42,7 @@
 
 auto main(int argc, char** argv) -> int
 {
+    rhubarbrun::start_event_log(argv[0]);
     const auto wanted = std::string_view(argc > 1 ? argv[1] : "");
     for (const auto& each : sub_commands) {
         if (each.name != wanted) {
--- a/include/rhubarbrun/coordination/replica_choice.hpp
+++ b/include/rhubarbrun/coordination/replica_choice.hpp
@@ -123,8 +123,8 @@
     auto on_failed(const target_id& target) -> void;
 
     /// Position that the owner of the replica checks before it runs the read:
-    /// the floor, or that of the accepted age if it is higher. No value if
-    /// data of that age cannot be told from older data.
+    /// one that satisfies the floor and the accepted age. No value if data of
+    /// that age cannot be told from older data.
     [[nodiscard]] auto
     required_position(time_point now,
                       const read_requirements& requirements) const
--- a/include/rhubarbrun/state/control_state.hpp
+++ b/include/rhubarbrun/state/control_state.hpp
@@ -4,18 +4,23 @@
 #include <rhubarbrun/state/control_command.hpp>
 #include <rhubarbrun/state/directory_records.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
 
+namespace detail {
+/// Defined by tests alone, to plant faults that their checks must catch.
+struct state_test_access;
+} // namespace detail
+
 /// How far a bundle has come.
 enum class bundle_stage : std::uint8_t
 {
@@ -79,6 +84,13 @@
     /// Removals that deltas can name; a copy older than the oldest of them is
     /// replaced as a whole.
     static constexpr std::size_t most_removals = 4096;
+    /// Bounds what false announcements can add.
+    static constexpr std::size_t most_targets = 20'000;
+    /// Earlier incarnations remembered per proxy.
+    static constexpr std::size_t most_former_runs = 8;
+    /// Rolled bundles whose leases may still be held; see
+    /// `longest_granted_lease`.
+    static constexpr std::size_t recent_rolls = 8;
 
     /// Applies the command at `index`, which must be above all earlier ones;
     /// throws `std::logic_error` otherwise. A refused command changes nothing
@@ -96,12 +108,11 @@
     }
 
     /// Encodes the whole state with a format version.
-    [[nodiscard]] auto save() const -> std::vector<std::byte>;
+    [[nodiscard]] auto save() const -> std::string;
 
     /// Decodes a saved state; throws `std::runtime_error` if the bytes are
     /// not one that this version can read.
-    [[nodiscard]] static auto load(std::span<const std::byte> bytes)
-        -> control_state;
+    [[nodiscard]] static auto load(std::string_view bytes) -> control_state;
 
     /// Changes after `since`; its cost is proportional to their number.
     [[nodiscard]] auto delta_since(log_index since) const -> directory_delta;
@@ -176,6 +187,9 @@
     [[nodiscard]] auto find_proxy(const proxy_id& id) const
         -> const proxy_record*;
 
+    /// Whether a later incarnation of the proxy has registered.
+    [[nodiscard]] auto is_superseded(const proxy_identity& proxy) const -> bool;
+
     /// Targets that any incarnation of `id` owns or will own next.
     [[nodiscard]] auto targets_held_by(const proxy_id& id) const
         -> const std::set<target_id>&;
@@ -191,6 +205,8 @@
     }
 
 private:
+    friend struct detail::state_test_access;
+
     enum class record_kind : std::uint8_t
     {
         bundle,
@@ -205,7 +221,8 @@
         record_kind kind;
         std::string name;
 
-        friend auto operator<=>(const change_key&, const change_key&) = default;
+        friend auto operator<=>(const change_key&, const change_key&)
+            -> std::strong_ordering = default;
 
         template <class Archive>
         auto serialize(Archive& archive) -> void
@@ -227,18 +244,23 @@
     auto run(const release_target_command& command) -> command_result;
     auto run(const set_primary_command& command) -> command_result;
 
-    template <class Archive>
-    auto serialize(Archive& archive) -> void;
+    template <class Archive, class Self>
+    static auto archive_members(Archive& archive, Self& self) -> void;
 
+    [[nodiscard]] auto is_present(const change_key& key) const -> bool;
     auto touch(record_kind kind, const std::string& name) -> void;
     auto trim_removals() -> void;
     auto trim_records() -> void;
+    auto withdraw(bundle_record& record) -> void;
     auto withdraw_surplus_proposals() -> void;
-    auto put_in_force(const bundle& value, const bundle_digest& digest) -> void;
+    auto withdraw_obsolete_proposals() -> void;
+    auto put_in_force(const bundle_record& record) -> void;
     auto replace_groups(const bundle& value) -> void;
-    auto apply_change(const target_change& change) -> bool;
-    auto announce(const target_description& description) -> bool;
-    auto set_presence(target_record& record, target_presence presence) -> bool;
+    auto apply_change(const target_change& change) -> void;
+    auto announce(const target_description& description) -> void;
+    auto forget_target(const target_record& record) -> void;
+    [[nodiscard]] auto is_primary(const target_record& record) const -> bool;
+    auto drop_target(target_record& record) -> void;
     auto erase_target(const target_id& id) -> void;
     auto set_holders(target_record& record,
                      const std::optional<proxy_identity>& owner,
@@ -249,9 +271,9 @@
     [[nodiscard]] auto is_operator(const operator_id& id) const -> bool;
     [[nodiscard]] auto check_assignable(const proxy_identity& proxy) const
         -> command_status;
-    [[nodiscard]] auto
-    is_claim_allowed(const group_record& group,
-                     const set_primary_command& command) const -> bool;
+    [[nodiscard]] auto check_claim(const group_record& group,
+                                   const set_primary_command& command) const
+        -> command_status;
     [[nodiscard]] auto complete_delta() const -> directory_delta;
     auto add_change(directory_delta& delta, const change_key& key) const
         -> void;
@@ -265,11 +287,12 @@
     /// Contents of the bundle in force and of open proposals.
     std::map<bundle_version, bundle> contents_;
     std::map<bundle_version, bundle_record> records_;
-    /// Versions up to this one may have lost their history.
-    bundle_version forgotten_versions_;
     std::map<group_id, group_record> groups_;
     std::map<target_id, target_record> targets_;
     std::map<proxy_id, proxy_record> proxies_;
+    /// Earlier incarnations, the latest last, so that a registration that
+    /// arrives late does not replace a newer one.
+    std::map<proxy_id, std::vector<incarnation>> former_runs_;
     /// One counter for all targets, so that the epoch of a target that was
     /// forgotten and announced again does not start anew.
     owner_epoch last_epoch_;
--- a/include/rhubarbrun/state/directory_records.hpp
+++ b/include/rhubarbrun/state/directory_records.hpp
@@ -8,6 +8,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,8 +22,8 @@
     proxy_id id;
     incarnation run;
 
-    friend auto operator<=>(const proxy_identity&,
-                            const proxy_identity&) = default;
+    friend auto operator<=>(const proxy_identity&, const proxy_identity&)
+        -> std::strong_ordering = default;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
@@ -118,6 +119,8 @@
     /// Who claimed this term, and under which epoch.
     proxy_identity claimant;
     owner_epoch claimant_epoch;
+    /// Log index of the command that set it.
+    log_index set_at;
 
     friend auto operator==(const primary_record&, const primary_record&)
         -> bool = default;
@@ -125,7 +128,7 @@
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(target, group_term, claimant, claimant_epoch);
+        archive(target, group_term, claimant, claimant_epoch, set_at);
     }
 };
 
--- a/include/rhubarbrun/transport/ranked_mutex.hpp
+++ b/include/rhubarbrun/transport/ranked_mutex.hpp
@@ -10,13 +10,16 @@
 /// rank is higher than that of each lock it holds already.
 enum class lock_rank : std::uint8_t
 {
-    directory = 1,
-    sessions = 2,
-    owned_targets = 3,
-    forwarded_requests = 4,
-    peer_links = 5,
-    announcements = 6,
-    metrics = 7,
+    sessions = 1,
+    owned_targets = 2,
+    proxy_links = 3,
+    peer_links = 4,
+    link_queues = 5,
+    datagrams = 6,
+    announcements = 7,
+    control = 8,
+    directory = 9,
+    metrics = 10,
 };
 
 /// A mutex with a rank; the order is checked if the library was built with
--- a/src/coordination/replica_choice.cpp
+++ b/src/coordination/replica_choice.cpp
@@ -109,7 +109,7 @@
     if (!by_age) {
         return std::nullopt;
     }
-    return std::max(requirements.floor.value_or(*by_age), *by_age);
+    return join(requirements.floor.value_or(*by_age), *by_age);
 }
 
 auto replica_choice::update_exclusion(time_point now, replica& entry) -> void
