state, coordination, protocol: keep internals in one detail namespace

Cause: some files declared rhubarbrun::v1::detail and others rhubarbrun::detail, which is ambiguous for any file that includes both, as the control daemon does.

Conclusion: headers of all layers can be included together.

--- a/include/rhubarbrun/coordination/lease_table.hpp
+++ b/include/rhubarbrun/coordination/lease_table.hpp
@@ -11,12 +11,12 @@
 #include <utility>
 #include <vector>
 
-namespace rhubarbrun::inline v1 {
-
-namespace detail {
+namespace rhubarbrun::detail {
 /// Defined by tests alone, to plant faults that their checks must catch.
 struct lease_test_access;
-} // namespace detail
+} // namespace rhubarbrun::detail
+
+namespace rhubarbrun::inline v1 {
 
 /// Leader side of the leases: when each proxy's lease expires.
 ///
--- a/include/rhubarbrun/state/control_state.hpp
+++ b/include/rhubarbrun/state/control_state.hpp
@@ -14,12 +14,12 @@
 #include <string_view>
 #include <vector>
 
-namespace rhubarbrun::inline v1 {
-
-namespace detail {
+namespace rhubarbrun::detail {
 /// Defined by tests alone, to plant faults that their checks must catch.
 struct state_test_access;
-} // namespace detail
+} // namespace rhubarbrun::detail
+
+namespace rhubarbrun::inline v1 {
 
 /// How far a bundle has come.
 enum class bundle_stage : std::uint8_t
--- a/src/protocol/link_handshake.cpp
+++ b/src/protocol/link_handshake.cpp
@@ -10,9 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace rhubarbrun::inline v1 {
-
-namespace detail {
+namespace rhubarbrun::detail {
 
 /// Payload of the first frame of each end.
 struct hello_message
@@ -42,7 +40,9 @@
            hello.lowest >= 1 && hello.lowest <= hello.highest;
 }
 
-} // namespace detail
+} // namespace rhubarbrun::detail
+
+namespace rhubarbrun::inline v1 {
 
 namespace {
 
--- a/src/state/bundle_fields.hpp
+++ b/src/state/bundle_fields.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace rhubarbrun::inline v1::detail {
+namespace rhubarbrun::detail {
 
 /// A numeric option and the member that holds it.
 template <class Table>
@@ -79,6 +79,6 @@
                                &group_limits::session_result_bytes},
 };
 
-} // namespace rhubarbrun::inline v1::detail
+} // namespace rhubarbrun::detail
 
 #endif
--- a/tests/coordination/lease_test_access.hpp
+++ b/tests/coordination/lease_test_access.hpp
@@ -3,7 +3,7 @@
 
 #include <rhubarbrun/coordination/lease_table.hpp>
 
-namespace rhubarbrun::inline v1::detail {
+namespace rhubarbrun::detail {
 
 /// Plants faults that the checks of lease safety must notice.
 struct lease_test_access
@@ -21,6 +21,6 @@
     }
 };
 
-} // namespace rhubarbrun::inline v1::detail
+} // namespace rhubarbrun::detail
 
 #endif
--- a/tests/state/bundle_property_test.cpp
+++ b/tests/state/bundle_property_test.cpp
@@ -7,7 +7,7 @@
 #include <functional>
 #include <map>
 
-namespace rhubarbrun::inline v1::detail {
+namespace rhubarbrun::detail {
 
 /// Plants faults that the oracle must notice.
 struct state_test_access
@@ -29,7 +29,7 @@
     }
 };
 
-} // namespace rhubarbrun::inline v1::detail
+} // namespace rhubarbrun::detail
 
 using namespace rhubarbrun;
 using namespace rhubarbrun::tests;
