--- a/tests/transport/relay.hpp
+++ b/tests/transport/relay.hpp
@@ -72,24 +72,27 @@
     auto pump(const std::shared_ptr<pair>& open, asio::ip::tcp::socket& from,
               asio::ip::tcp::socket& to, std::array<char, 4096>& buffer) -> void
     {
-        from.async_read_some(
-            asio::buffer(buffer),
-            [self = shared_from_this(), open, &from, &to,
-             &buffer](error_code error, std::size_t size) {
-                if (error) {
-                    auto ignored = error_code();
+        from.async_read_some(asio::buffer(buffer), [self = shared_from_this(),
+                                                    open, &from, &to,
+                                                    &buffer](error_code error,
+                                                             std::size_t size) {
+            const auto is_silent = open->number <= self->silenced_;
+            if (error) {
+                auto ignored = error_code();
+                if (!is_silent) {
                     to.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-                    return;
-                }
-                if (open->number > self->silenced_) {
-                    asio::write(to, asio::buffer(buffer.data(), size), error);
                 }
-                if (open->number == 1 && &from == &open->client) {
-                    const auto lock = std::lock_guard(self->mutex_);
-                    self->recorded_.append(buffer.data(), size);
-                }
-                self->pump(open, from, to, buffer);
-            });
+                return;
+            }
+            if (!is_silent) {
+                asio::write(to, asio::buffer(buffer.data(), size), error);
+            }
+            if (open->number == 1 && &from == &open->client) {
+                const auto lock = std::lock_guard(self->mutex_);
+                self->recorded_.append(buffer.data(), size);
+            }
+            self->pump(open, from, to, buffer);
+        });
     }
 
     asio::io_context& context_;
