state, coordination: compare records without defaulted orders

Cause: clang-tidy 14 reports "use nullptr" for defaulted three-way comparisons, also where no pointer is involved.

Change: the four types of the control state and the ownership plan compare through std::tie. strong_id.hpp has the same report and is left as it is.

--- a/include/rhubarbrun/state/bundle_parse.hpp
+++ b/include/rhubarbrun/state/bundle_parse.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
@@ -18,8 +19,16 @@
     std::uint32_t line = 1;
     std::uint32_t column = 1;
 
-    friend auto operator<=>(const source_position&, const source_position&)
-        -> std::strong_ordering = default;
+    friend auto operator<=>(const source_position& left,
+                            const source_position& right)
+        -> std::strong_ordering
+    {
+        return std::tie(left.line, left.column) <=>
+               std::tie(right.line, right.column);
+    }
+
+    friend auto operator==(const source_position& left,
+                           const source_position& right) -> bool = default;
 };
 
 /// A fault in the text of a bundle.
--- a/include/rhubarbrun/state/control_state.hpp
+++ b/include/rhubarbrun/state/control_state.hpp
@@ -12,6 +12,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
@@ -78,8 +80,8 @@
     /// Versions whose history is kept, so that the size of the state does not
     /// grow with the age of the deployment.
     static constexpr std::size_t most_bundle_records = 1000;
-    /// A version this far above the one in force is refused, as a slip of the
-    /// keyboard would use up the version numbers.
+    /// A version further above the one in force is refused, as a mistyped one
+    /// would use up the version numbers.
     static constexpr std::uint64_t longest_version_step = 1000;
     /// Removals that deltas can name; a copy older than the oldest of them is
     /// replaced as a whole.
@@ -221,8 +223,15 @@
         record_kind kind;
         std::string name;
 
-        friend auto operator<=>(const change_key&, const change_key&)
-            -> std::strong_ordering = default;
+        friend auto operator<=>(const change_key& left, const change_key& right)
+            -> std::strong_ordering
+        {
+            return std::tie(left.kind, left.name) <=>
+                   std::tie(right.kind, right.name);
+        }
+
+        friend auto operator==(const change_key&, const change_key&)
+            -> bool = default;
 
         template <class Archive>
         auto serialize(Archive& archive) -> void
--- a/include/rhubarbrun/state/directory_records.hpp
+++ b/include/rhubarbrun/state/directory_records.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
@@ -22,8 +23,14 @@
     proxy_id id;
     incarnation run;
 
-    friend auto operator<=>(const proxy_identity&, const proxy_identity&)
-        -> std::strong_ordering = default;
+    friend auto operator<=>(const proxy_identity& left,
+                            const proxy_identity& right) -> std::strong_ordering
+    {
+        return std::tie(left.id, left.run) <=> std::tie(right.id, right.run);
+    }
+
+    friend auto operator==(const proxy_identity& left,
+                           const proxy_identity& right) -> bool = default;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -58,8 +58,11 @@
     /// Negated, so that the highest score is preferred.
     std::uint64_t inverse_score;
 
-    friend auto operator<=>(const preference&, const preference&)
-        -> std::strong_ordering = default;
+    [[nodiscard]] auto key() const
+    {
+        return std::tie(is_avoided, is_quiet, is_elsewhere, shares_group, load,
+                        inverse_score);
+    }
 };
 
 ownership::ownership(ownership_options options) : options_(options) {}
@@ -249,7 +252,7 @@
             return;
         }
         const auto ranked = rank(now, id, target, candidate);
-        if (best == nullptr || ranked < best_rank) {
+        if (best == nullptr || ranked.key() < best_rank.key()) {
             best = &candidate;
             best_rank = ranked;
         }
