transport: give up targets that are gone

Cause: a target that is no longer announced kept its owner, so its record was never forgotten. Change: the owner releases it once it is idle, unless it is the primary, which its owner has to replace.

--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -204,6 +204,7 @@
     auto read_status_of(const target_id& target) -> void;
     [[nodiscard]] auto other_proxies() const -> std::vector<proxy_id>;
     auto step_handover(time_point now) -> void;
+    auto release_if_gone(time_point now) -> void;
 
     // Requests, in owned_target_jobs.cpp.
     auto on_submit(execute_request request, link_id link, reply_function reply)
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -244,6 +244,7 @@
     advance_role();
     check_primary(now);
     step_handover(now);
+    release_if_gone(now);
     pump();
 }
 
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -372,6 +372,17 @@
     });
 }
 
+auto owned_target::release_if_gone(time_point now) -> void
+{
+    // A gone primary keeps its owner, which is the one to replace it.
+    const auto is_of_no_use = record_.presence == target_presence::gone &&
+                              !is_designated_primary() && !handover_since_;
+    if (is_of_no_use && jobs_.empty() && now >= next_release_) {
+        next_release_ = now + control_repeat_interval;
+        hooks_.release(options_.id, record_.epoch);
+    }
+}
+
 auto owned_target::step_handover(time_point now) -> void
 {
     if (!handover_since_ || now < next_release_) {
