coordination: judge the age of replicas by term and offset alike

Cause: the history of the primary ordered positions by term first, so a replica that follows a new term but lacks old offsets counted as fresh. Change: a sample counts only if the replica satisfies it; the end of the former primary's log is dropped from the history.

--- a/include/rhubarbrun/coordination/data_path_ids.hpp
+++ b/include/rhubarbrun/coordination/data_path_ids.hpp
@@ -31,7 +31,7 @@
     session_id session;
 
     friend auto operator<=>(const entry_session&, const entry_session&)
-        -> std::strong_ordering = default;
+        -> std::strong_ordering = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace rhubarbrun::inline v1
--- a/include/rhubarbrun/state/log_position.hpp
+++ b/include/rhubarbrun/state/log_position.hpp
@@ -25,7 +25,7 @@
     log_offset offset;
 
     friend auto operator<=>(const log_position&, const log_position&)
-        -> std::strong_ordering = default;
+        -> std::strong_ordering = default; // NOLINT(modernize-use-nullptr)
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
--- a/include/rhubarbrun/state/strong_id.hpp
+++ b/include/rhubarbrun/state/strong_id.hpp
@@ -47,8 +47,14 @@
         return value_.empty();
     }
 
-    friend constexpr auto operator<=>(const strong_id&, const strong_id&)
-        -> std::strong_ordering = default;
+    // Written out, because clang-tidy 14 takes the defaulted one for a use of
+    // 0 as a null pointer.
+    friend constexpr auto operator<=>(const strong_id& left,
+                                      const strong_id& right) noexcept
+        -> std::strong_ordering
+    {
+        return left.value_ <=> right.value_;
+    }
     friend constexpr auto operator==(const strong_id&, const strong_id&)
         -> bool = default;
 
--- a/src/coordination/read_policy.cpp
+++ b/src/coordination/read_policy.cpp
@@ -12,6 +12,12 @@
     {
         return;
     }
+    // The end of the former primary's log may never have reached the new one,
+    // whose own log then goes over the same offsets again.
+    while (!samples_.empty() &&
+           samples_.back().position.offset > position.offset) {
+        samples_.pop_back();
+    }
     // The distance counts from the sample before the last; otherwise frequent
     // samples would replace each other for ever and none would be kept.
     const auto is_close =
@@ -29,10 +35,11 @@
 auto primary_history::above(log_position position) const
     -> std::deque<primary_sample>::const_iterator
 {
-    return std::upper_bound(samples_.begin(), samples_.end(), position,
-                            [](const auto& wanted, const auto& sample) {
-                                return wanted < sample.position;
-                            });
+    // `add` keeps the samples in order of both term and offset.
+    return std::partition_point(samples_.begin(), samples_.end(),
+                                [&](const auto& sample) {
+                                    return satisfies(position, sample.position);
+                                });
 }
 
 auto primary_history::age(time_point now, log_position replayed) const
