--- a/bench/load_client.cpp
+++ b/bench/load_client.cpp
@@ -17,15 +17,15 @@
 
 auto verdict_of(std::string_view code) -> verdict
 {
+    // A session is ended between statements: a request that crosses with the
+    // end of its session has not run.
     if (code == sqlstate::cannot_connect_now ||
-        code == sqlstate::too_many_connections)
+        code == sqlstate::too_many_connections ||
+        code == sqlstate::admin_shutdown)
     {
         return verdict::not_run;
     }
-    // A shutdown between statements may cross with a request.
-    if (code == sqlstate::transaction_resolution_unknown ||
-        code == sqlstate::admin_shutdown)
-    {
+    if (code == sqlstate::transaction_resolution_unknown) {
         return verdict::may_have_run;
     }
     return verdict::ran;
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -83,8 +83,9 @@
             ? milliseconds(directory->bundle()->timings.control_silence_ms)
             : duration(first_silence_limit);
     const auto lock = std::lock_guard(lease_mutex_);
-    return directory->bundle() && is_registered_copy_ &&
-           lease_.has_contact(hooks_.now(), silence);
+    // The link to the leader does not count: a change of leader takes less
+    // than the silence limit, and the proxy serves on meanwhile.
+    return directory->bundle() && lease_.has_contact(hooks_.now(), silence);
 }
 
 auto control_client::view() const -> directory_view
