--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "experiment.hpp"
+#include "idle_main.hpp"
 #include "load_main.hpp"
 #include "target_main.hpp"
 
@@ -22,6 +23,7 @@
 constexpr auto sub_commands = std::array{
     sub_command{"experiment", rhubarbrun::bench::run_experiments,
                 "measure the decisions of the data path in virtual time"},
+    sub_command{"idle", run_idle, "hold idle sessions open at one proxy"},
     sub_command{"load", run_load,
                 "run sessions through proxies and check their records"},
     sub_command{"target", run_target,
--- a/programs/rhubarbrun-proxy.cpp
+++ b/programs/rhubarbrun-proxy.cpp
@@ -108,10 +108,10 @@
 {
     auto settings = read_proxy_settings();
     const auto threads = settings.process.threads;
-    auto key = read_deployment_key(settings.process.deployment_key_file);
+    const auto key = read_deployment_key(settings.process.deployment_key_file);
     auto pool = worker_pool(threads);
-    auto node = proxy_node(pool.context(), std::move(settings), std::move(key),
-                           make_random());
+    auto node =
+        proxy_node(pool.context(), std::move(settings), key, make_random());
     auto signals_context = asio::io_context();
     node.on_failure([&] { signals_context.stop(); });
     node.start();
