--- a/include/rhubarbrun/coordination/write_acknowledger.hpp
+++ b/include/rhubarbrun/coordination/write_acknowledger.hpp
@@ -51,6 +51,15 @@
     /// Whether a poll is worth sending: a write waits, and none is underway.
     [[nodiscard]] auto wants_poll() const noexcept -> bool;
 
+    /// Whether a poll is underway.
+    [[nodiscard]] auto is_polling() const noexcept -> bool
+    {
+        return is_polling_;
+    }
+
+    /// Every poll whose answer is passed on must be noted here when it is
+    /// asked for, and only one may be underway: an answer counts for all
+    /// writes that committed before the last call.
     auto on_poll_sent() noexcept -> void;
     auto on_poll_failed() noexcept -> void;
 
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -236,8 +236,13 @@
     const auto waiting =
         static_cast<std::uint32_t>(waiting_for_connection_.size());
     pool_->tick(now, waiting);
-    if (may_write() && now - last_poll_ >= idle_poll_interval) {
+    const auto is_poll_due = may_write() && !acknowledger_.is_polling() &&
+                             now - last_poll_ >= idle_poll_interval;
+    if (is_poll_due) {
+        // The acknowledger has to know of every poll: a write that commits
+        // while one is underway must wait for the next.
         last_poll_ = now;
+        acknowledger_.on_poll_sent();
         monitor_->request_poll();
     }
     expire_jobs(now);
--- /dev/null
+++ b/tests/coordination/scenario_network.hpp
@@ -0,0 +1,122 @@
+#ifndef RHUBARBRUN_TESTS_COORDINATION_SCENARIO_NETWORK_HPP
+#define RHUBARBRUN_TESTS_COORDINATION_SCENARIO_NETWORK_HPP
+
+#include <rhubarbrun/state/units.hpp>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+// Stands in for the machines and the network: virtual time with one event
+// queue, processes that crash and freeze, messages with delay and loss, and
+// connections that go silent.
+
+namespace rhubarbrun::tests {
+
+/// Names one connection between two processes.
+using connection_number = std::uint64_t;
+
+class scenario_network
+{
+public:
+    using action = std::function<void()>;
+
+    explicit scenario_network(std::uint64_t seed) : random_(seed) {}
+
+    [[nodiscard]] auto now() const -> time_point { return now_; }
+    [[nodiscard]] auto random() -> std::uint64_t { return random_(); }
+
+    auto add(const std::string& process, const std::string& zone) -> void;
+    auto start(const std::string& process) -> void;
+    auto stop(const std::string& process) -> void;
+    auto freeze(const std::string& process) -> void;
+    /// Runs what became due meanwhile.
+    auto thaw(const std::string& process) -> void;
+    [[nodiscard]] auto is_alive(const std::string& process) const -> bool;
+    [[nodiscard]] auto is_frozen(const std::string& process) const -> bool;
+    [[nodiscard]] auto zone_of(const std::string& process) const -> std::string;
+
+    /// Processes that a name of a scenario stands for: a process, a zone, all
+    /// control members, or `*` for all.
+    [[nodiscard]] auto expand(const std::string& party) const
+        -> std::vector<std::string>;
+
+    auto cut(const std::string& a, const std::string& b, bool is_one_way)
+        -> void;
+    auto heal(const std::string& a, const std::string& b) -> void;
+    auto heal_all() -> void;
+    [[nodiscard]] auto is_reachable(const std::string& from,
+                                    const std::string& to) const -> bool;
+
+    /// A new connection; it ends with either process.
+    [[nodiscard]] auto connect(const std::string& a, const std::string& b)
+        -> connection_number;
+    /// Whether the process at one end is gone.
+    [[nodiscard]] auto is_closed(connection_number connection) const -> bool
+    {
+        const auto found = connections_.find(connection);
+        return found != connections_.end() && found->second.is_closed;
+    }
+    /// From now on the established connections carry nothing.
+    auto silence(const std::string& a, const std::string& b) -> void;
+
+    /// Calls `work` at `process` after `delay` unless it stops before.
+    auto after(const std::string& process, duration delay, action work) -> void;
+    /// Calls `work` at the given time, for the script itself.
+    auto at(time_point when, action work) -> void;
+    /// Sends a datagram: it may get lost.
+    auto datagram(const std::string& from, const std::string& to, action work)
+        -> void;
+    /// Sends over a connection, in order; it arrives unless the connection is
+    /// silent or cut. Calls `refused` at the sender if the receiver runs no
+    /// process.
+    auto send(connection_number connection, const std::string& from,
+              const std::string& to, action work, action refused = {}) -> void;
+
+    auto run_until(time_point end) -> void;
+
+    /// Datagrams lost, in percent.
+    unsigned loss = 1;
+
+private:
+    struct process_state
+    {
+        std::string zone;
+        std::uint64_t run = 0;
+        bool is_alive = false;
+        bool is_frozen = false;
+        std::vector<action> deferred;
+    };
+    struct connection_state
+    {
+        std::string a;
+        std::string b;
+        bool is_silent = false;
+        /// One of the processes has ended.
+        bool is_closed = false;
+        /// Latest delivery, by the name of the receiver, so that messages stay
+        /// in order.
+        std::map<std::string, time_point> last;
+    };
+
+    [[nodiscard]] auto delay(const std::string& from, const std::string& to)
+        -> duration;
+    auto deliver(const std::string& process, std::uint64_t run, action work)
+        -> void;
+
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::hours(1)};
+    std::map<std::string, process_state> processes_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::map<connection_number, connection_state> connections_;
+    connection_number last_connection_ = 0;
+    std::multimap<time_point, action> events_;
+};
+
+} // namespace rhubarbrun::tests
+
+#endif
--- a/tests/coordination/write_acknowledger_test.cpp
+++ b/tests/coordination/write_acknowledger_test.cpp
@@ -114,3 +114,23 @@
 {
     CHECK(early_acknowledgements(1, true) > 0);
 }
+
+// Guards against a write that is acknowledged from positions that were read
+// before it committed: the idle poll of an owner was not noted, and a write
+// that committed meanwhile took its answer for that of a later poll.
+TEST_CASE("a write that commits during an idle poll waits for the next poll")
+{
+    auto writes = write_acknowledger(acknowledge_mode::second_server,
+                                     std::chrono::seconds(1));
+    REQUIRE_FALSE(writes.is_polling());
+    writes.on_poll_sent();
+    CHECK(writes.is_polling());
+    writes.on_committed(time_point{}, 1);
+    CHECK_FALSE(writes.wants_poll());
+    const auto before = replication_positions{log_offset(10), log_offset(10)};
+    CHECK(writes.on_poll_answered(before).empty());
+    CHECK(writes.wants_poll());
+    writes.on_poll_sent();
+    const auto after = replication_positions{log_offset(11), log_offset(11)};
+    CHECK(writes.on_poll_answered(after).size() == 1);
+}
