--- a/include/rhubarbrun/coordination/failover.hpp
+++ b/include/rhubarbrun/coordination/failover.hpp
@@ -170,6 +170,10 @@
         -> std::vector<failover_action>;
     [[nodiscard]] auto propose(time_point now) -> std::vector<failover_action>;
     [[nodiscard]] auto is_confirmed() const noexcept -> bool;
+    /// Whether nobody is left whose answer is worth waiting for. Control keeps
+    /// proxies that crashed in the directory for minutes; with few proxies
+    /// their answers must not be needed.
+    [[nodiscard]] auto were_all_asked_twice() const noexcept -> bool;
     [[nodiscard]] auto has_enough_positions(const server_status& best) const
         -> bool;
     [[nodiscard]] auto missing() const -> std::vector<target_id>;
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -118,7 +118,8 @@
     switch (phase_) {
     case failover_phase::confirming:
         if (now - last_action_ >= options_.confirmation_limit) {
-            return ask_next(now);
+            return were_all_asked_twice() ? start_collecting(now)
+                                          : ask_next(now);
         }
         return {};
     case failover_phase::collecting: {
@@ -210,6 +211,11 @@
     return unreachable_for_.size() >= wanted;
 }
 
+auto failover::were_all_asked_twice() const noexcept -> bool
+{
+    return asked_ >= 2 * live_proxies_.size();
+}
+
 auto failover::has_enough_positions(const server_status& best) const -> bool
 {
     if (group_.acknowledge == acknowledge_mode::primary) {
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -197,3 +197,29 @@
     const auto actions = process.on_suspected(start, {});
     CHECK(find<read_positions>(actions) != nullptr);
 }
+
+// Guards against a primary that is never replaced because a proxy that crashed
+// with it is still in the directory, and too few others are left.
+TEST_CASE("proxies that stay silent twice do not block the replacement")
+{
+    auto process = failover(group(), {});
+    static_cast<void>(process.on_suspected(start, {first_peer, second_peer}));
+    CHECK(process.on_confirmation(start, first_peer, false).empty());
+    const auto again = process.tick(start + 300ms);
+    CHECK(find<ask_confirmation>(again) != nullptr);
+    CHECK(process.tick(start + 500ms).empty());
+    const auto after = process.tick(start + 600ms);
+    CHECK(find<read_positions>(after) != nullptr);
+    CHECK(process.phase() == failover_phase::collecting);
+}
+
+TEST_CASE("a silent proxy that answers at last still saves the primary")
+{
+    auto process = failover(group(), {});
+    static_cast<void>(process.on_suspected(start, {first_peer, second_peer}));
+    static_cast<void>(process.on_confirmation(start, first_peer, false));
+    static_cast<void>(process.tick(start + 300ms));
+    const auto saved =
+        process.on_confirmation(start + 400ms, second_peer, true);
+    CHECK(find<release_primary>(saved) != nullptr);
+}
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -135,23 +135,50 @@
         monitor_, milliseconds(timings_.probe_silence_ms),
         [](scenario_server& server) { return server.report(); },
         [this, asked_at, is_poll](const server_report* report, loss) {
-            is_probing_ = false;
-            if (!report) {
-                detector_.on_probe_failed(now());
-                monitor_ = 0;
-                if (is_poll) {
-                    acknowledger_.on_poll_failed();
-                }
-                return;
+            if (report != nullptr && is_poll) {
+                poll_replicas(asked_at, *report);
+            } else {
+                on_probe_ended(asked_at, report, is_poll);
             }
-            detector_.on_probe_answered(now());
-            on_report(asked_at, *report, is_poll);
-            if (is_poll_wanted_ && !is_probing_) {
-                probe(true);
+        });
+}
+
+auto scenario_owner::poll_replicas(time_point asked_at,
+                                   const server_report& first) -> void
+{
+    // A poll is two queries: the log end, and then the replicas.
+    ask<server_report>(
+        monitor_, milliseconds(timings_.probe_silence_ms),
+        [](scenario_server& server) { return server.report(); },
+        [this, asked_at, first](const server_report* report, loss) {
+            auto both = first;
+            if (report != nullptr) {
+                both.followers = report->followers;
             }
+            on_probe_ended(asked_at, report == nullptr ? nullptr : &both, true);
         });
 }
 
+auto scenario_owner::on_probe_ended(time_point asked_at,
+                                    const server_report* report, bool is_poll)
+    -> void
+{
+    is_probing_ = false;
+    if (report == nullptr) {
+        detector_.on_probe_failed(now());
+        monitor_ = 0;
+        if (is_poll) {
+            acknowledger_.on_poll_failed();
+        }
+        return;
+    }
+    detector_.on_probe_answered(now());
+    on_report(asked_at, *report, is_poll);
+    if (is_poll_wanted_ && !is_probing_) {
+        probe(true);
+    }
+}
+
 auto scenario_owner::request_poll() -> void
 {
     is_poll_wanted_ = true;
--- a/tests/coordination/scenario_owner.hpp
+++ b/tests/coordination/scenario_owner.hpp
@@ -170,6 +170,9 @@
     auto command(std::function<void(scenario_server&)> run, duration limit,
                  std::function<void()> done) -> void;
     auto probe(bool is_poll) -> void;
+    auto poll_replicas(time_point asked_at, const server_report& first) -> void;
+    auto on_probe_ended(time_point asked_at, const server_report* report,
+                        bool is_poll) -> void;
     auto on_report(time_point asked_at, const server_report& report,
                    bool is_poll) -> void;
     auto advance_role() -> void;
@@ -266,7 +269,7 @@
             auto& at = self->hooks_.server(self->id_);
             auto value = run(at);
             self->network_->after(
-                at.name(), at.service_time,
+                at.name(), at.template time_for<Value>(),
                 [self, connection, end, value = std::move(value)] {
                     self->network_->send(
                         connection, self->id_.value(), self->self_.id.value(),
--- a/tests/coordination/scenario_owner_jobs.cpp
+++ b/tests/coordination/scenario_owner_jobs.cpp
@@ -372,6 +372,9 @@
 {
     auto reply = refused(code, reroute);
     reply.error->outcome = outcome;
+    if (const auto found = jobs_.find(ticket); found != jobs_.end()) {
+        reply.answer.attempt = found->second.request.body.attempt;
+    }
     finish(ticket, std::move(reply));
 }
 
--- a/tests/coordination/scenario_proxy_entry.cpp
+++ b/tests/coordination/scenario_proxy_entry.cpp
@@ -369,6 +369,10 @@
 auto scenario_proxy::finish(session_id id, scenario_reply reply) -> void
 {
     auto& caller = sessions_.at(id);
+    if (!caller.running) {
+        // Only if a planted fault has ended the request before.
+        return;
+    }
     auto running = std::move(*caller.running);
     const auto is_write = running.statement.body.kind != statement_kind::read;
     const auto* const group = copy_.find_group(caller.group);
@@ -420,7 +424,7 @@
     out.code = reply.error ? reply.error->code : "";
     out.answer = reply.answer;
     out.is_at_replica = running.is_at_replica;
-    if (reply.error) {
+    if (out.answer.attempt == 0) {
         out.answer.attempt = running.statement.body.attempt;
     }
     running.answer(out);
--- a/tests/coordination/scenario_runner.cpp
+++ b/tests/coordination/scenario_runner.cpp
@@ -408,7 +408,9 @@
     } else if (verb == "lag") {
         server().lag = std::chrono::milliseconds(step.number("ms"));
     } else if (verb == "slow") {
-        server().service_time = std::chrono::milliseconds(step.number("ms"));
+        const auto time = std::chrono::milliseconds(step.number("ms"));
+        (step.flag("queries") ? server().query_time : server().statement_time) =
+            time;
     } else if (verb == "announce") {
         server().is_announcing = true;
         server().is_leaving = false;
--- a/tests/coordination/scenario_server.hpp
+++ b/tests/coordination/scenario_server.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 // Stands in for a database server: a log with one record per committed write,
@@ -82,8 +83,10 @@
     scenario_server(scenario_network& network, server_history& history,
                     std::string name);
 
-    /// Time until an answer leaves the server.
-    duration service_time = std::chrono::milliseconds(1);
+    /// Time until the answer to a statement, and to a status query or
+    /// command, leaves the server.
+    duration statement_time = std::chrono::milliseconds(1);
+    duration query_time = std::chrono::milliseconds(1);
     duration lag{};
     std::string upstream;
     bool is_in_recovery = true;
@@ -96,6 +99,12 @@
     std::optional<time_point> last_work;
 
     [[nodiscard]] auto name() const -> const std::string& { return name_; }
+    template <class Answer>
+    [[nodiscard]] auto time_for() const -> duration
+    {
+        return std::is_same_v<Answer, server_answer> ? statement_time
+                                                     : query_time;
+    }
     [[nodiscard]] auto report() const -> server_report;
     [[nodiscard]] auto execute(connection_number connection,
                                std::uint64_t epoch,
