--- a/tests/coordination/scenario_checks.cpp
+++ b/tests/coordination/scenario_checks.cpp
@@ -152,9 +152,8 @@
         who.acknowledged.push_back(each);
         acknowledge(who.group, each);
     }
-    const auto token = proxies_.at(who.proxy)->token_of(who.session);
-    if (!token.empty()) {
-        who.token = token;
+    if (!reply.token.empty()) {
+        who.token = reply.token;
     }
 }
 
@@ -473,7 +472,9 @@
         }
     }
     for (const auto& [version, digest] : rolled_) {
-        const auto& header = truth().bundle_in_force();
+        auto* const control = leader();
+        const auto& header =
+            (control == nullptr ? truth() : control->state()).bundle_in_force();
         const auto is_kept =
             header &&
             (header->version > version ||
--- a/tests/coordination/scenario_control.cpp
+++ b/tests/coordination/scenario_control.cpp
@@ -162,7 +162,7 @@
     const auto command = decode_command(entry.command);
     const auto result = state_.apply(entry.index, command);
     coordinator_->on_applied(now, command, result);
-    hooks_.on_applied(entry.index, command, result);
+    hooks_.on_applied(entry.index, command);
     const auto [first, last] = waiting_.equal_range(entry.index);
     for (auto place = first; place != last; ++place) {
         if (place->second.elected == entry.elected) {
--- a/tests/coordination/scenario_control.hpp
+++ b/tests/coordination/scenario_control.hpp
@@ -36,10 +36,8 @@
         std::function<void(const consensus_message&)> send;
         /// Passes a delta to a proxy.
         std::function<void(const proxy_id&, const directory_delta&)> push;
-        /// A command was applied by this member while it leads.
-        std::function<void(log_index, const control_command&,
-                           const command_result&)>
-            on_applied;
+        /// This member applied a committed command.
+        std::function<void(log_index, const control_command&)> on_applied;
     };
 
     scenario_control(scenario_network& network, std::string name,
--- /dev/null
+++ b/tests/coordination/scenario_fuzz.cpp
@@ -0,0 +1,294 @@
+#include "scenario_fuzz.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace rhubarbrun::tests {
+
+namespace {
+
+constexpr auto sessions = std::array{"a", "b", "c"};
+constexpr auto chaos_ms = std::int64_t{14000};
+constexpr auto repair_ms = std::int64_t{15000};
+constexpr auto final_write_ms = std::int64_t{30000};
+constexpr auto end_ms = std::int64_t{36000};
+
+class generator
+{
+public:
+    explicit generator(std::uint64_t seed) : random_(seed)
+    {
+        script_.name = "random " + std::to_string(seed);
+        auto& deployment = script_.deployment;
+        deployment.seed = seed;
+        deployment.groups = {"g0"};
+        for (auto index = 0; index < 3; ++index) {
+            const auto number = std::to_string(index);
+            deployment.proxies.push_back({"p" + number, "z" + number, ""});
+            deployment.servers.push_back({"s" + number, "z" + number, "g0"});
+        }
+    }
+
+    auto run() -> scenario
+    {
+        for (const auto* const session : sessions) {
+            add("session", {{"session", session}, {"proxy", proxy()}});
+        }
+        add("load", {{"every_ms", std::int64_t{40}},
+                     {"for_ms", std::int64_t{chaos_ms}}});
+        add("load", {{"every_ms", std::int64_t{90}},
+                     {"for_ms", std::int64_t{chaos_ms}},
+                     {"reads", true}});
+        while (now_ < chaos_ms) {
+            now_ += 20 + below(250);
+            if (below(3) == 0) {
+                break_something();
+            } else {
+                use_something();
+            }
+        }
+        repair();
+        return script_;
+    }
+
+private:
+    using values = std::map<std::string, scenario_step::value_type>;
+
+    auto below(std::uint64_t limit) -> std::int64_t
+    {
+        return static_cast<std::int64_t>(random_() % limit);
+    }
+
+    auto name(const char* prefix) -> std::string
+    {
+        return prefix + std::to_string(below(3));
+    }
+
+    auto proxy() -> std::string { return name("p"); }
+
+    auto any() -> std::string
+    {
+        static constexpr auto prefixes = std::array{"p", "s", "c"};
+        return name(prefixes.at(static_cast<std::size_t>(below(3))));
+    }
+
+    auto session() -> std::string
+    {
+        return sessions.at(static_cast<std::size_t>(below(3)));
+    }
+
+    auto add(const std::string& verb, values keys, bool is_expectation = false)
+        -> void
+    {
+        auto step = scenario_step{};
+        step.at_ms = now_;
+        step.verb = verb;
+        step.is_expectation = is_expectation;
+        step.line = static_cast<std::uint32_t>(script_.steps.size() + 1);
+        step.values = std::move(keys);
+        script_.steps.push_back(std::move(step));
+    }
+
+    auto break_something() -> void
+    {
+        switch (below(14)) {
+        case 0:
+            add("kill", {{"who", any()}});
+            break;
+        case 1:
+        case 2:
+            add("restart", {{"who", any()}});
+            break;
+        case 3:
+            if (!std::exchange(has_wiped_, true)) {
+                add("restart", {{"who", name("c")}, {"disk", false}});
+            }
+            break;
+        case 4:
+            add("freeze", {{"who", any()}});
+            break;
+        case 5:
+            add("thaw", {{"who", "*"}});
+            break;
+        case 6:
+            add("cut",
+                {{"a", any()}, {"b", any()}, {"one_way", below(2) == 0}});
+            break;
+        case 7:
+            add("cut", {{"a", any()}, {"b", "*"}});
+            break;
+        case 8:
+        case 9:
+            add("heal", {});
+            break;
+        case 10:
+            add("silence", {{"a", any()}, {"b", any()}});
+            break;
+        default:
+            add("lag", {{"server", name("s")}, {"ms", below(1500)}});
+            break;
+        }
+        if (below(4) == 0) {
+            add("rebuild", {{"server", name("s")}});
+        }
+    }
+
+    auto use_something() -> void
+    {
+        const auto who = session();
+        const auto order = "o" + std::to_string(script_.steps.size());
+        switch (below(12)) {
+        case 9:
+        case 10:
+        case 11:
+            roam(who, order);
+            break;
+        case 0:
+        case 1:
+            add("write", {{"session", who}, {"order", order}});
+            break;
+        case 2:
+            add("write",
+                {{"session", who}, {"order", order}, {"key", "k" + order}});
+            break;
+        case 3:
+        case 4:
+            add("read", {{"session", who}});
+            break;
+        case 5:
+            add("begin", {{"session", who}});
+            break;
+        case 6:
+            add("commit", {{"session", who}});
+            break;
+        case 7:
+            add("move", {{"session", who}, {"proxy", proxy()}});
+            break;
+        default:
+            use_bundles();
+            break;
+        }
+    }
+
+    /// A session writes, moves with its token and reads.
+    auto roam(const std::string& who, const std::string& order) -> void
+    {
+        add("write", {{"session", who}, {"order", order}});
+        now_ += 60 + below(100);
+        add("move", {{"session", who}, {"proxy", proxy()}});
+        for (auto count = 0; count < 3; ++count) {
+            now_ += 10 + below(40);
+            add("read", {{"session", who}});
+        }
+    }
+
+    auto use_bundles() -> void
+    {
+        if (below(4) == 0) {
+            ++version_;
+        }
+        const auto flavour = below(2);
+        add("propose", {{"operator", flavour == 0 ? "ann" : "bob"},
+                        {"version", version_},
+                        {"flavour", flavour}});
+        add("approve", {{"operator", "cy"},
+                        {"version", version_},
+                        {"flavour", flavour},
+                        {"lose_answer", below(2) == 0}});
+        add("roll", {{"operator", "ann"},
+                     {"version", version_},
+                     {"flavour", flavour},
+                     {"lose_answer", below(2) == 0}});
+    }
+
+    auto repair() -> void
+    {
+        now_ = repair_ms;
+        add("heal", {});
+        add("thaw", {{"who", "*"}});
+        for (const auto* const prefix : {"c", "p", "s"}) {
+            for (auto index = 0; index < 3; ++index) {
+                const auto who = prefix + std::to_string(index);
+                add("restart", {{"who", who}});
+                if (*prefix == 's') {
+                    add("lag", {{"server", who}, {"ms", std::int64_t{0}}});
+                }
+            }
+        }
+        for (now_ = repair_ms + 6000; now_ < final_write_ms; now_ += 4000) {
+            for (auto index = 0; index < 3; ++index) {
+                add("rebuild", {{"server", "s" + std::to_string(index)}});
+            }
+        }
+        now_ = final_write_ms;
+        add("session", {{"session", "last"}, {"proxy", proxy()}});
+        add("write", {{"session", "last"}, {"order", "last"}});
+        now_ = end_ms;
+        add("verdict", {{"of", "last"}, {"is", "ran"}}, true);
+        add("leader", {{"is", true}}, true);
+    }
+
+    std::mt19937_64 random_;
+    scenario script_;
+    std::int64_t now_ = 0;
+    std::int64_t version_ = 2;
+    bool has_wiped_ = false;
+};
+
+auto is_removable(const scenario_step& step) -> bool
+{
+    return step.at_ms < repair_ms && step.verb != "session";
+}
+
+} // namespace
+
+auto make_random_scenario(std::uint64_t seed) -> scenario
+{
+    return generator(seed).run();
+}
+
+auto shrink(scenario failing, scenario_fault fault, int runs) -> scenario
+{
+    auto length = failing.steps.size() / 2;
+    while (length > 0 && runs > 0) {
+        auto has_shrunk = false;
+        for (auto from = std::size_t{0};
+             from + length <= failing.steps.size() && runs > 0; ++from)
+        {
+            auto shorter = failing;
+            const auto first =
+                shorter.steps.begin() + static_cast<std::ptrdiff_t>(from);
+            const auto last = first + static_cast<std::ptrdiff_t>(length);
+            if (!std::all_of(first, last, is_removable)) {
+                continue;
+            }
+            shorter.steps.erase(first, last);
+            --runs;
+            if (!run_scenario(shorter, fault).empty()) {
+                failing = std::move(shorter);
+                has_shrunk = true;
+                --from;
+            }
+        }
+        if (!has_shrunk || length > 1) {
+            length /= 2;
+        }
+    }
+    return failing;
+}
+
+auto describe(const scenario& script, const std::vector<std::string>& failures)
+    -> std::string
+{
+    auto out = "seed " + std::to_string(script.deployment.seed) + "\n";
+    for (const auto& failure : failures) {
+        out += failure + "\n";
+    }
+    for (const auto& step : script.steps) {
+        out += "  { " + to_string(step) + " },\n";
+    }
+    return out;
+}
+
+} // namespace rhubarbrun::tests
--- a/tests/coordination/scenario_proxy.hpp
+++ b/tests/coordination/scenario_proxy.hpp
@@ -39,6 +39,8 @@
     std::string code;
     server_answer answer;
     bool is_at_replica = false;
+    /// Session token, as reported with the answer.
+    std::string token;
 };
 
 struct scenario_proxy_hooks
@@ -74,7 +76,6 @@
     auto close_session(session_id session) -> void;
     auto request(session_id session, const caller_statement& statement,
                  caller_function answer) -> void;
-    [[nodiscard]] auto token_of(session_id session) const -> std::string;
 
     // Platform.
     auto hear(const target_announcement& announcement) -> void;
--- a/tests/coordination/scenario_proxy_entry.cpp
+++ b/tests/coordination/scenario_proxy_entry.cpp
@@ -38,12 +38,6 @@
     return true;
 }
 
-auto scenario_proxy::token_of(session_id session) const -> std::string
-{
-    const auto found = sessions_.find(session);
-    return found == sessions_.end() ? "" : to_string(found->second.token);
-}
-
 auto scenario_proxy::close_session(session_id session) -> void
 {
     const auto found = sessions_.find(session);
@@ -424,6 +418,7 @@
     out.code = reply.error ? reply.error->code : "";
     out.answer = reply.answer;
     out.is_at_replica = running.is_at_replica;
+    out.token = to_string(caller.token);
     if (out.answer.attempt == 0) {
         out.answer.attempt = running.statement.body.attempt;
     }
--- a/tests/coordination/scenario_runner.cpp
+++ b/tests/coordination/scenario_runner.cpp
@@ -46,8 +46,11 @@
                 proxies_.at(id.value())->on_delta(delta);
             });
         };
-        hooks.on_applied = [](log_index, const control_command&,
-                              const command_result&) {
+        hooks.on_applied = [this](log_index index,
+                                  const control_command& command) {
+            if (index > truth_.applied()) {
+                truth_.apply(index, command);
+            }
         };
         controls_[name] = std::make_unique<scenario_control>(
             network_, name, ids, std::move(hooks));
@@ -183,17 +186,6 @@
     return out;
 }
 
-auto scenario_runner::truth() const -> const control_state&
-{
-    const auto best =
-        std::max_element(controls_.begin(), controls_.end(),
-                         [](const auto& left, const auto& right) {
-                             return left.second->state().applied() <
-                                    right.second->state().applied();
-                         });
-    return best->second->state();
-}
-
 auto scenario_runner::leader() const -> scenario_control*
 {
     for (const auto& [name, control] : controls_) {
@@ -421,7 +413,10 @@
         const auto* const group =
             truth().find_group(group_id(group_names_.at(server().name())));
         const auto primary = group->primary->target.value();
-        if (primary != server().name()) {
+        const auto is_possible = primary != server().name() &&
+                                 network_.is_alive(primary) &&
+                                 !servers_.at(primary)->is_in_recovery;
+        if (is_possible) {
             server().copy_from(*servers_.at(primary));
             server().upstream = primary;
         }
--- a/tests/coordination/scenario_runner.hpp
+++ b/tests/coordination/scenario_runner.hpp
@@ -125,7 +125,8 @@
     auto require(bool condition, const scenario_step& step,
                  const std::string& seen) -> void;
     auto violate(const std::string& what) -> void;
-    [[nodiscard]] auto truth() const -> const control_state&;
+    /// What control has committed, whichever members still know.
+    [[nodiscard]] auto truth() const -> const control_state& { return truth_; }
     [[nodiscard]] auto group_of(const scenario_step& step) const -> group_id;
     [[nodiscard]] auto make_bundle(std::int64_t version,
                                    std::int64_t flavour) const -> bundle;
@@ -140,6 +141,7 @@
     std::map<std::string, std::unique_ptr<scenario_proxy>> proxies_;
     std::map<std::string, std::unique_ptr<scenario_server>> servers_;
     std::map<std::string, std::string> group_names_;
+    control_state truth_;
     time_point start_{};
 
     std::map<std::string, caller> callers_;
--- a/tests/coordination/scenario_test.cpp
+++ b/tests/coordination/scenario_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
+#include <sstream>
 
 using namespace rhubarbrun;
 using namespace rhubarbrun::tests;
@@ -85,6 +87,27 @@
     }
 }
 
+TEST_CASE("scenarios: the page lists all steps, expectations and files")
+{
+    auto file = std::ifstream(std::string(RHUBARBRUN_TEST_DATA) +
+                              "/../docs/scenarios.md");
+    auto text = std::ostringstream{};
+    text << file.rdbuf();
+    const auto page = text.str();
+    for (const auto& line : scenario_vocabulary()) {
+        const auto verb = line.substr(0, line.find(' '));
+        INFO(verb);
+        CHECK(page.find("`" + verb + "`") != std::string::npos);
+    }
+    for (const auto& entry : std::filesystem::directory_iterator(
+             std::string(RHUBARBRUN_TEST_DATA) + "/scenarios"))
+    {
+        const auto name = entry.path().stem().string();
+        INFO(name);
+        CHECK(page.find(name) != std::string::npos);
+    }
+}
+
 TEST_CASE("scenarios: one seed gives one run")
 {
     const auto script = load_scenario(scenario_path("proxy_drained"));
