transport: replace a leaving primary; take verdicts of refused retries from the record

Cause: a primary that announced that it leaves refused all writes until it died. A refused retry of an idempotent request was answered as not run, although its first attempt, on a link that was lost, may have run; a random scenario had seen that once. An idle proxy woke 250 times a second. Change: failover has a planned start: the owner lets its work end, fences itself and proposes a successor; servers that leave or are gone are passed over only if another one is known to be safe. The entry ends a refused request through pending_requests, which knows of earlier attempts. Ticks are 50 ms while nothing has to be timed. The timeline of a prepared primary is kept, because without it the highest acknowledged position was never used and one lost replica held up a failover for good.

--- a/include/rhubarbrun/coordination/failover.hpp
+++ b/include/rhubarbrun/coordination/failover.hpp
@@ -61,6 +61,9 @@
     target_id primary;
     /// All other servers of the group that are known and not gone.
     std::vector<target_id> others;
+    /// Those of `others` that must not become primary, such as leaving ones;
+    /// their positions count all the same.
+    std::set<target_id> excluded;
     acknowledge_mode acknowledge = acknowledge_mode::second_server;
     /// Highest acknowledged position, if this owner served the whole term.
     std::optional<timeline_position> highest_acknowledged;
@@ -139,6 +142,12 @@
                                     std::vector<proxy_id> live_proxies)
         -> std::vector<failover_action>;
 
+    /// Replaces a primary that works but leaves. The owner must have stopped
+    /// to take writes, and all earlier ones must have been answered. It is
+    /// fenced from now on.
+    [[nodiscard]] auto start_planned(time_point now)
+        -> std::vector<failover_action>;
+
     /// The primary answered a probe again.
     [[nodiscard]] auto on_primary_answered() -> std::vector<failover_action>;
 
@@ -174,7 +183,10 @@
     /// proxies that crashed in the directory for minutes; with few proxies
     /// their answers must not be needed.
     [[nodiscard]] auto were_all_asked_twice() const noexcept -> bool;
-    [[nodiscard]] auto has_enough_positions(const server_status& best) const
+    /// Whether the server is known to hold every acknowledged write. Without
+    /// that, the most advanced of all others is safe: each acknowledged write
+    /// is on the primary and on one of them.
+    [[nodiscard]] auto holds_acknowledged(const server_status& status) const
         -> bool;
     [[nodiscard]] auto missing() const -> std::vector<target_id>;
 
--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -103,11 +103,15 @@
     auto on_link_down(link_id link) -> void;
     auto on_directory() -> void;
 
-    /// Expires requests and retries parked ones; call every 10 ms.
+    /// Expires requests and retries parked ones; call every 10 ms while there
+    /// are any.
     auto tick() -> void;
 
     [[nodiscard]] auto status() const -> entry_status;
 
+    /// Whether any request has not been answered yet.
+    [[nodiscard]] auto has_requests() const -> bool;
+
     /// Sessions with an open transaction and no request in flight.
     [[nodiscard]] auto sessions_idle_in_transaction() const
         -> std::vector<session_id>;
--- a/include/rhubarbrun/transport/http_server.hpp
+++ b/include/rhubarbrun/transport/http_server.hpp
@@ -43,8 +43,8 @@
 
     /// Adds a route; a pattern part `{name}` matches one path part, which the
     /// handler finds in `parameters`. Add all routes before `listen`.
-    auto route(std::string method, std::string pattern, http_handler handler)
-        -> void;
+    auto route(std::string method, const std::string& pattern,
+               http_handler handler) -> void;
 
     /// Accepts connections; returns the bound endpoint.
     /// @throws boost::system::system_error if the endpoint cannot be bound.
--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -199,7 +199,11 @@
     auto claim_primary() -> void;
     auto leave_role(std::string_view reason) -> void;
     auto check_primary(time_point now) -> void;
-    auto start_failover(time_point now) -> void;
+    auto replace_leaving_primary(time_point now) -> void;
+    /// A failover with what is known of the group; null if a planned one has
+    /// no server to go to.
+    [[nodiscard]] auto make_failover(bool is_planned) const
+        -> std::unique_ptr<failover>;
     auto carry_out(const std::vector<failover_action>& actions) -> void;
     auto read_status_of(const target_id& target) -> void;
     [[nodiscard]] auto other_proxies() const -> std::vector<proxy_id>;
@@ -279,6 +283,9 @@
     bool is_role_command_running_ = false;
     /// Term for which this target was prepared as primary; 0 for none.
     term prepared_term_;
+    std::uint32_t prepared_timeline_ = 0;
+    /// Since when the primary's record says that it leaves.
+    std::optional<time_point> leaving_since_;
     /// Term for which this target was told whom to follow; 0 for none.
     term followed_term_;
     time_point next_claim_{};
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -159,12 +159,13 @@
     until_true 30 "the primary takes writes" writer_of
 }
 
-# load NAME SECONDS [options] runs 12 sessions through all proxies.
+# load NAME SECONDS [options] runs 12 sessions through all proxies. LOAD_OPTIONS
+# holds further options, such as --keys=1.
 load() {
     local name=$1 length=$2
     shift 2
     "$bench" load --proxies="$proxies" --sessions=12 --seconds="$length" \
-        --run="$name" --record="$work/$name.txt" "$@" >"$work/$name.json"
+        --run="$name" --record="$work/$name.txt" ${LOAD_OPTIONS:-} "$@" >"$work/$name.json"
 }
 
 # check NAME compares the records of a load with the table at the primary.
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -53,6 +53,15 @@
     return ask_next(now);
 }
 
+auto failover::start_planned(time_point now) -> std::vector<failover_action>
+{
+    if (phase_ != failover_phase::watching) {
+        return {};
+    }
+    is_fenced_ = true;
+    return start_collecting(now);
+}
+
 auto failover::on_primary_answered() -> std::vector<failover_action>
 {
     const auto may_resume =
@@ -152,19 +161,30 @@
 auto failover::candidate() const -> std::optional<target_id>
 {
     auto best = statuses_.end();
+    auto most_advanced = statuses_.end();
+    const auto is_better = [this](const auto& entry, const auto& than) {
+        return than == statuses_.end() ||
+               rank(than->second) < rank(entry->second);
+    };
     for (auto entry = statuses_.begin(); entry != statuses_.end(); ++entry) {
         if (!entry->second.is_in_recovery) {
             continue;
         }
-        if (best == statuses_.end() || rank(best->second) < rank(entry->second))
-        {
+        if (is_better(entry, most_advanced)) {
+            most_advanced = entry;
+        }
+        const auto is_eligible = !group_.excluded.contains(entry->first);
+        if (is_eligible && is_better(entry, best)) {
             best = entry;
         }
     }
-    if (best == statuses_.end() || !has_enough_positions(best->second)) {
+    if (best == statuses_.end()) {
         return std::nullopt;
     }
-    return best->first;
+    const auto is_safe = holds_acknowledged(best->second) ||
+                         (missing().empty() &&
+                          rank(best->second) == rank(most_advanced->second));
+    return is_safe ? std::optional(best->first) : std::nullopt;
 }
 
 auto failover::ask_next(time_point now) -> std::vector<failover_action>
@@ -216,19 +236,14 @@
     return asked_ >= 2 * live_proxies_.size();
 }
 
-auto failover::has_enough_positions(const server_status& best) const -> bool
+auto failover::holds_acknowledged(const server_status& status) const -> bool
 {
     if (group_.acknowledge == acknowledge_mode::primary) {
         return true;
     }
     const auto& floor = group_.highest_acknowledged;
-    if (floor && best.timeline == floor->timeline &&
-        best.position >= floor->offset) {
-        return true;
-    }
-    // Each acknowledged write is on the primary and on one other server, so
-    // only the answers of all others are certain to include it.
-    return missing().empty();
+    return floor && status.timeline == floor->timeline &&
+           status.position >= floor->offset;
 }
 
 auto failover::missing() const -> std::vector<target_id>
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr auto tick_interval = std::chrono::milliseconds(20);
+/// Fine enough for a lease renewal; a registration does not wait for it.
+constexpr auto tick_interval = std::chrono::milliseconds(50);
 /// Renewal interval before a bundle states one.
 constexpr auto first_renewal_interval = std::chrono::milliseconds(300);
 /// Silence limit before a bundle states one.
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -300,6 +300,17 @@
                 park(id, caller);
             }
             retry_parked(todo);
+        } else if (is_not_run) {
+            // A refused retry does not take back that an earlier attempt may
+            // have run, so the verdict comes from the record.
+            const auto is_expected = pending_.on_not_run(reply.id, link);
+            const auto ending = is_expected
+                                    ? pending_.give_up(reply.id, *reply.error)
+                                    : std::nullopt;
+            if (ending) {
+                reply.error = ending->error;
+                finish(ending->session, std::move(reply), todo);
+            }
         } else if (const auto id = pending_.on_answer(reply.id, link)) {
             finish(*id, std::move(reply), todo);
         }
@@ -397,9 +408,9 @@
     if (found == sessions_.end() || !found->second.running) {
         return;
     }
-    // Ends the bookkeeping as well if the request was not on its way.
-    static_cast<void>(pending_.give_up(found->second.running->id, error));
-    finish(id, error_reply(std::move(error)), todo);
+    // The record knows whether an earlier attempt may have run.
+    const auto ending = pending_.give_up(found->second.running->id, error);
+    finish(id, error_reply(ending ? ending->error : std::move(error)), todo);
 }
 
 auto entry_router::end_transaction_at_owner(session_id id,
@@ -531,6 +542,12 @@
     run(std::move(todo));
 }
 
+auto entry_router::has_requests() const -> bool
+{
+    const auto lock = std::lock_guard(mutex_);
+    return pending_.size() > 0;
+}
+
 auto entry_router::status() const -> entry_status
 {
     const auto lock = std::lock_guard(mutex_);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -394,7 +394,7 @@
     stop();
 }
 
-auto http_server::route(std::string method, std::string pattern,
+auto http_server::route(std::string method, const std::string& pattern,
                         http_handler handler) -> void
 {
     implementation_->route(std::move(method), pattern, std::move(handler));
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// Resolution of all time limits of an owned target.
-constexpr auto tick_interval = std::chrono::milliseconds(10);
+/// Resolution of the time limits of requests, of a failover and of a handover.
+constexpr auto busy_tick_interval = std::chrono::milliseconds(10);
+/// Resolution of the probes while nothing else has to be timed; an idle target
+/// costs a fifth of the wake-ups.
+constexpr auto idle_tick_interval = std::chrono::milliseconds(50);
 /// Replicas of an idle primary are polled this often, so that entries learn
 /// which replicas follow it.
 constexpr auto idle_poll_interval = std::chrono::milliseconds(250);
@@ -219,7 +222,9 @@
 
 auto owned_target::schedule_tick() -> void
 {
-    timer_.expires_after(tick_interval);
+    const auto is_busy = !jobs_.empty() || failover_ || handover_since_ ||
+                         !has_terminated_older_;
+    timer_.expires_after(is_busy ? busy_tick_interval : idle_tick_interval);
     timer_.async_wait([self = weak_from_this()](const error_code& error) {
         const auto target = self.lock();
         if (!error && target && !target->is_stopped_) {
@@ -255,6 +260,9 @@
 
 auto owned_target::on_monitor_connected() -> void
 {
+    // Another server, or the same one with another history, may answer at the
+    // address after a restart.
+    state_.reset();
     advance_role();
 }
 
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -23,6 +23,18 @@
 /// A role command that failed is repeated after this.
 constexpr auto role_retry_interval = std::chrono::milliseconds(100);
 
+auto log_status(const target_id& target,
+                const std::optional<server_state>& state) -> void
+{
+    auto line = log_event("failover_status_read");
+    line.field("target", target).field("reached", state.has_value());
+    if (state) {
+        line.field("in_recovery", state->is_in_recovery)
+            .field("timeline", state->timeline)
+            .field("position", to_string(state->received));
+    }
+}
+
 template <class... Handlers>
 struct overloaded : Handlers...
 {
@@ -148,6 +160,7 @@
                            // up to here.
                            acknowledger_.raise_to(state_->position);
                            prepared_term_ = prepared;
+                           prepared_timeline_ = state_->timeline;
                            log_role("primary_ready");
                            pump();
                        });
@@ -211,6 +224,7 @@
     }
     prepared_term_ = term(0);
     failover_.reset();
+    leaving_since_.reset();
     is_fenced_ = false;
     followers_.clear();
     for (const auto handle : acknowledger_.abandon()) {
@@ -235,11 +249,42 @@
     if (failover_) {
         carry_out(failover_->tick(now));
     } else if (monitor_->has_failed(now)) {
-        start_failover(now);
+        log_role("primary_suspected");
+        failover_ = make_failover(false);
+        carry_out(failover_->on_suspected(now, other_proxies()));
+    } else if (record_.presence != target_presence::present) {
+        replace_leaving_primary(now);
     }
 }
 
-auto owned_target::start_failover(time_point now) -> void
+auto owned_target::replace_leaving_primary(time_point now) -> void
+{
+    if (!leaving_since_) {
+        leaving_since_ = now;
+    }
+    const auto limit = std::chrono::milliseconds(timings_.handover_wait_ms);
+    if (now - *leaving_since_ >= limit) {
+        for (const auto& pin : pins_.expire(now, duration::zero())) {
+            release(pin);
+        }
+    }
+    // New work is refused already; what was taken is answered first.
+    const auto is_idle = jobs_.empty() && pins_.size() == 0;
+    if (!is_idle || !may_write()) {
+        return;
+    }
+    auto process = make_failover(true);
+    if (!process) {
+        return;
+    }
+    log_role("primary_leaving");
+    failover_ = std::move(process);
+    is_fenced_ = true;
+    carry_out(failover_->start_planned(now));
+}
+
+auto owned_target::make_failover(bool is_planned) const
+    -> std::unique_ptr<failover>
 {
     auto group = failover_group{};
     group.id = group_.config.id;
@@ -247,18 +292,26 @@
     group.primary = options_.id;
     group.acknowledge = group_.config.acknowledge;
     for (const auto& member : view_->targets_of(group_.config.id)) {
-        if (member != options_.id) {
-            group.others.push_back(member);
+        if (member == options_.id) {
+            continue;
+        }
+        group.others.push_back(member);
+        const auto presence = view_->find_target(member)->presence;
+        const auto is_excluded =
+            presence == target_presence::gone ||
+            (is_planned && presence == target_presence::leaving);
+        if (is_excluded) {
+            group.excluded.insert(member);
         }
     }
-    if (prepared_term_ == group.current_term && state_) {
+    if (is_planned && group.excluded.size() == group.others.size()) {
+        return nullptr;
+    }
+    if (prepared_term_ == group.current_term) {
         group.highest_acknowledged = timeline_position{
-            state_->timeline, acknowledger_.highest_acknowledged()};
+            prepared_timeline_, acknowledger_.highest_acknowledged()};
     }
-    log_role("primary_suspected");
-    failover_ =
-        std::make_unique<failover>(std::move(group), failover_options{});
-    carry_out(failover_->on_suspected(now, other_proxies()));
+    return std::make_unique<failover>(std::move(group), failover_options{});
 }
 
 auto owned_target::other_proxies() const -> std::vector<proxy_id>
@@ -338,7 +391,11 @@
     probe_target(strand_, std::move(options), status_limit,
                  [weak = weak_from_this(), target](const auto& state) {
                      const auto self = weak.lock();
-                     if (!self || !self->failover_ || !state) {
+                     if (!self || !self->failover_) {
+                         return;
+                     }
+                     log_status(target, state);
+                     if (!state) {
                          return;
                      }
                      const auto status =
--- a/src/transport/proxy_node.cpp
+++ b/src/transport/proxy_node.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr auto tick_interval = std::chrono::milliseconds(10);
+/// Resolution of deadlines and retries while requests are in flight.
+constexpr auto busy_tick_interval = std::chrono::milliseconds(10);
+constexpr auto idle_tick_interval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -193,7 +195,8 @@
 
 auto proxy_node::schedule_tick() -> void
 {
-    timer_.expires_after(tick_interval);
+    const auto is_busy = is_draining_ || entry_->has_requests();
+    timer_.expires_after(is_busy ? busy_tick_interval : idle_tick_interval);
     timer_.async_wait([this](const error_code& error) {
         if (!error && !is_ended_) {
             tick();
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -191,6 +191,39 @@
     CHECK(proposal->candidate == replica_b);
 }
 
+TEST_CASE("an excluded server is passed over only if another one is safe")
+{
+    auto members = group();
+    members.excluded = {replica_c};
+    auto process = failover(members, {});
+    static_cast<void>(confirm(process));
+    static_cast<void>(process.on_status(start, replica_b, replica_at(900)));
+    static_cast<void>(process.on_status(start, replica_c, replica_at(950)));
+    // Only the excluded server may hold the last acknowledged writes.
+    CHECK_FALSE(process.candidate().has_value());
+    static_cast<void>(process.on_status(start, replica_b, replica_at(950)));
+    CHECK(process.candidate() == replica_b);
+}
+
+TEST_CASE("a planned change of primary keeps every acknowledged write")
+{
+    auto members = group(900);
+    members.excluded = {replica_c};
+    auto process = failover(members, {});
+    CHECK(find<read_positions>(process.start_planned(start)) != nullptr);
+    CHECK(process.is_fenced());
+    // The primary still answers, which must not call the change off.
+    CHECK(process.on_primary_answered().empty());
+    static_cast<void>(process.on_status(start, replica_b, replica_at(899)));
+    static_cast<void>(process.on_status(start, replica_c, replica_at(900)));
+    CHECK(find<propose_candidate>(process.tick(start + 200ms)) == nullptr);
+    const auto actions =
+        process.on_status(start + 300ms, replica_b, replica_at(900));
+    const auto* proposal = find<propose_candidate>(actions);
+    REQUIRE(proposal != nullptr);
+    CHECK(proposal->candidate == replica_b);
+}
+
 TEST_CASE("a proxy that stands alone replaces a failed primary by itself")
 {
     auto process = failover(group(), {});
--- a/tests/coordination/pending_requests_test.cpp
+++ b/tests/coordination/pending_requests_test.cpp
@@ -316,6 +316,19 @@
           verdict::may_have_run);
 }
 
+TEST_CASE("a refused retry does not take back an attempt that may have run")
+{
+    auto pending = pending_requests{};
+    REQUIRE(pending.add(request(1, true)));
+    REQUIRE(sent(pending, 1, 1));
+    REQUIRE(pending.on_link_lost(start, link_id(1)).retries.size() == 1);
+    REQUIRE(sent(pending, 1, 2));
+    REQUIRE(pending.on_not_run(request_id(1), link_id(2)));
+    const auto ending = pending.give_up(request_id(1), {});
+    REQUIRE(ending.has_value());
+    CHECK(ending->error.outcome == verdict::may_have_run);
+}
+
 TEST_CASE("refusals of owners during a failover use up no retry budget")
 {
     auto pending = pending_requests{};
--- a/tests/coordination/scenario_proxy_entry.cpp
+++ b/tests/coordination/scenario_proxy_entry.cpp
@@ -329,6 +329,16 @@
 {
     const auto is_not_run =
         reply.error && reply.error->outcome == verdict::not_run;
+    const auto is_refusal =
+        is_not_run && reply.reroute == scenario_reroute::none;
+    if (is_refusal && pending_->on_not_run(reply.id, link)) {
+        if (const auto ending = pending_->give_up(reply.id, *reply.error)) {
+            auto refused = reply;
+            refused.error = ending->error;
+            finish(ending->session, refused);
+        }
+        return;
+    }
     if (!is_not_run || reply.reroute == scenario_reroute::none) {
         if (const auto id = pending_->on_answer(reply.id, link)) {
             finish(*id, reply);
--- a/tests/transport/owned_target_test.cpp
+++ b/tests/transport/owned_target_test.cpp
@@ -18,6 +18,8 @@
 const auto replica_id = target_id("b");
 const auto group_name = group_id("orders");
 constexpr auto entry_link = link_id(1);
+/// Nothing listens there.
+constexpr auto lost_port = std::uint16_t{1};
 
 auto answer_rows(const std::vector<row_values>& rows, std::string_view tag)
     -> std::string
@@ -193,6 +195,10 @@
         delta.groups = {group};
         delta.targets = {record(primary_id, target.port()),
                          record(replica_id, replica_target.port())};
+        delta.targets[0].presence = presence;
+        if (has_lost_server) {
+            delta.targets.push_back(record(target_id("c"), lost_port));
+        }
         for (const auto* const name : {"vm-1", "vm-2", "vm-3"}) {
             auto proxy = proxy_record{};
             proxy.identity = {proxy_id(name), incarnation(1)};
@@ -256,6 +262,8 @@
     bool holds_lease = true;
     term group_term;
     target_id primary;
+    target_presence presence = target_presence::present;
+    bool has_lost_server = false;
     owner_epoch epoch{1};
     duration limit = std::chrono::seconds(5);
     std::uint64_t index = 0;
@@ -372,6 +380,21 @@
     CHECK(test.server.writes == 0);
 }
 
+TEST_CASE("a lost replica does not hold up a failover to one that is safe")
+{
+    auto test = owner_fixture{};
+    test.wait_until_serving();
+    test.has_lost_server = true;
+    test.owned->set_directory(test.view());
+    test.replica.position = 100;
+    test.server.is_silent = true;
+    REQUIRE(run_until(test.context, [&] { return test.asked.size() >= 2; }));
+    test.owned->on_confirmation(proxy_id("vm-2"), false);
+    test.owned->on_confirmation(proxy_id("vm-3"), false);
+    REQUIRE(run_until(test.context, [&] { return !test.proposed.empty(); }));
+    CHECK(test.proposed[0] == std::pair(term(4), replica_id));
+}
+
 TEST_CASE("a primary that another proxy reaches is given up, not replaced")
 {
     auto test = owner_fixture{};
@@ -412,6 +435,27 @@
     CHECK_FALSE(test.server.is_in_recovery);
 }
 
+TEST_CASE("a leaving primary is replaced after its last write was answered")
+{
+    auto test = owner_fixture{};
+    test.wait_until_serving();
+    test.submit("INSERT 1");
+    REQUIRE(run_until(test.context, [&] { return test.server.writes == 1; }));
+    test.presence = target_presence::leaving;
+    test.owned->set_directory(test.view());
+    test.submit("INSERT 2");
+    test.wait_for_replies(1);
+    CHECK(test.replies[0].reroute == reroute_hint::try_again);
+    CHECK(test.proposed.empty());
+    test.replica.position = test.server.position;
+    test.server.follower_position = test.server.position;
+    REQUIRE(run_until(test.context, [&] { return !test.proposed.empty(); }));
+    CHECK(test.proposed[0] == std::pair(term(4), replica_id));
+    REQUIRE(test.replies.size() == 2);
+    CHECK(outcome_of(test.replies[1]) == verdict::ran);
+    CHECK(test.asked.empty());
+}
+
 TEST_CASE("a handover gives the target back only after its work has ended")
 {
     auto test = owner_fixture{};
