--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -200,7 +200,7 @@
         std::optional<request_error> error;
     };
 
-    auto run(actions todo) -> void;
+    static auto run(const actions& todo) -> void;
     auto dispatch(session_id id, session_state& caller, actions& todo) -> void;
     [[nodiscard]] auto choose_route(session_state& caller, actions& todo)
         -> route;
@@ -221,8 +221,8 @@
         -> void;
     auto retry_parked(actions& todo) -> void;
     auto finish(session_id id, execute_reply reply, actions& todo) -> void;
-    auto finish_with_error(session_id id, request_error error, actions& todo)
-        -> void;
+    auto finish_with_error(session_id id, const request_error& error,
+                           actions& todo) -> void;
     auto note_answer(session_state& caller, const execute_reply& reply) -> void;
     auto fence_reply(const session_state& caller, execute_reply& reply) const
         -> void;
--- a/include/rhubarbrun/transport/target_monitor.hpp
+++ b/include/rhubarbrun/transport/target_monitor.hpp
@@ -89,7 +89,8 @@
         -> std::optional<server_state>;
     auto drop_connection() -> void;
     template <class Handler>
-    auto run_guarded(statement body, duration limit, Handler handler) -> void;
+    auto run_guarded(const statement& body, duration limit, Handler handler)
+        -> void;
 
     target_monitor_options options_;
     target_monitor_hooks hooks_;
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -33,7 +33,7 @@
 {
 }
 
-auto entry_router::run(actions todo) -> void
+auto entry_router::run(const actions& todo) -> void
 {
     for (const auto& step : todo) {
         step();
@@ -128,7 +128,7 @@
         found->second.running = std::move(running);
         dispatch(session, found->second, todo);
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::dispatch(session_id id, session_state& caller, actions& todo)
@@ -315,7 +315,7 @@
             finish(*id, std::move(reply), todo);
         }
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::fence_reply(const session_state& caller,
@@ -401,7 +401,7 @@
     }
 }
 
-auto entry_router::finish_with_error(session_id id, request_error error,
+auto entry_router::finish_with_error(session_id id, const request_error& error,
                                      actions& todo) -> void
 {
     const auto found = sessions_.find(id);
@@ -410,7 +410,7 @@
     }
     // The record knows whether an earlier attempt may have run.
     const auto ending = pending_.give_up(found->second.running->id, error);
-    finish(id, error_reply(ending ? ending->error : std::move(error)), todo);
+    finish(id, error_reply(ending ? ending->error : error), todo);
 }
 
 auto entry_router::end_transaction_at_owner(session_id id,
@@ -455,7 +455,7 @@
                         todo);
         }
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::on_closed(session_id session) -> void
@@ -483,7 +483,7 @@
         parked_.erase(session);
         sessions_.erase(found);
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::on_link_up() -> void
@@ -493,7 +493,7 @@
         const auto lock = std::lock_guard(mutex_);
         retry_parked(todo);
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::on_directory() -> void
@@ -525,7 +525,7 @@
         }
         retry_parked(todo);
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::tick() -> void
@@ -539,7 +539,7 @@
         }
         retry_parked(todo);
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 auto entry_router::has_requests() const -> bool
--- a/src/transport/entry_router_routes.cpp
+++ b/src/transport/entry_router_routes.cpp
@@ -230,7 +230,7 @@
         }
         retry_parked(todo);
     }
-    run(std::move(todo));
+    run(todo);
 }
 
 } // namespace rhubarbrun::inline v1
--- a/src/transport/proxy_node.cpp
+++ b/src/transport/proxy_node.cpp
@@ -22,7 +22,7 @@
       strand_(asio::make_strand(context)),
       timer_(strand_),
       settings_(std::move(settings)),
-      key_(std::move(key)),
+      key_(key),
       random_(std::move(random)),
       self_{proxy_id(settings_.process.name), incarnation(random_())},
       drain_(drain_options{.not_ready_time = settings_.not_ready_time})
--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -215,12 +215,12 @@
 }
 
 template <class Handler>
-auto target_monitor::run_guarded(statement body, duration limit,
+auto target_monitor::run_guarded(const statement& body, duration limit,
                                  Handler handler) -> void
 {
     is_busy_ = true;
     is_continued_ = true;
-    connection_->run(std::move(body), limit,
+    connection_->run(body, limit,
                      [self = shared_from_this(), generation = generation_,
                       handler = std::move(handler)](target_result result) {
                          if (self->generation_ != generation) {
