transport: pass the statement of a command by reference

Cause: the linter found a move that moves nothing. Change: target_monitor hands the statement on by reference.

--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -132,7 +132,7 @@
     auto next = std::move(commands_.front());
     commands_.pop_front();
     run_guarded(
-        std::move(next.body), next.limit,
+        next.body, next.limit,
         [this, handler = std::move(next.handler)](const target_result& result) {
             if (result.error) {
                 detector_.on_probe_failed(hooks_.now());
