state: share the target index between control state and directory

Cause: three look-ups stood twice, word for word; a detector's reset and a field of the control client's status were never used. Change: src/state/target_index.hpp serves both; the dead code is gone. No behaviour changes.

--- a/include/rhubarbrun/coordination/failure_detector.hpp
+++ b/include/rhubarbrun/coordination/failure_detector.hpp
@@ -42,9 +42,6 @@
     auto on_probe_answered(time_point now) noexcept -> void;
     auto on_probe_failed(time_point now) noexcept -> void;
 
-    /// Forgets everything, for a target that was assigned anew.
-    auto reset() noexcept -> void;
-
 private:
     failure_detector_options options_;
     bool has_outstanding_probe_ = false;
--- a/include/rhubarbrun/transport/control_client.hpp
+++ b/include/rhubarbrun/transport/control_client.hpp
@@ -44,7 +44,6 @@
 /// Contact with control at one moment, for dumps.
 struct control_client_status
 {
-    std::string member;
     bool is_registered = false;
     bool holds_lease = false;
     bool has_contact = false;
--- a/src/coordination/failure_detector.cpp
+++ b/src/coordination/failure_detector.cpp
@@ -42,9 +42,4 @@
     ++consecutive_failures_;
 }
 
-auto failure_detector::reset() noexcept -> void
-{
-    *this = failure_detector(options_);
-}
-
 } // namespace rhubarbrun::inline v1
--- a/src/state/control_state_helpers.hpp
+++ b/src/state/control_state_helpers.hpp
@@ -1,54 +1,34 @@
 #ifndef RHUBARBRUN_SRC_STATE_CONTROL_STATE_HELPERS_HPP
 #define RHUBARBRUN_SRC_STATE_CONTROL_STATE_HELPERS_HPP
 
+#include "target_index.hpp"
+
 #include <rhubarbrun/state/control_state.hpp>
+#include <rhubarbrun/state/strict_archive.hpp>
 
-#include <algorithm>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
-#include <iterator>
+
 #include <openssl/sha.h>
-#include <rhubarbrun/state/strict_archive.hpp>
+
+#include <algorithm>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
 namespace rhubarbrun::detail::control_state_helpers {
 
+using target_index::erase_member;
+using target_index::find_in;
+using target_index::set_in;
+
 /// Incremented when the saved form changes.
 inline constexpr auto state_format = std::uint32_t{1};
 inline constexpr auto state_magic = std::uint32_t{0x53435252};
 
-template <class Map, class Key>
-auto find_in(const Map& map, const Key& key) -> const typename Map::mapped_type*
-{
-    const auto found = map.find(key);
-    return found == map.end() ? nullptr : &found->second;
-}
-
-const auto no_targets = std::set<target_id>();
-
-template <class Map, class Key>
-auto set_in(const Map& map, const Key& key) -> const std::set<target_id>&
-{
-    const auto* const found = find_in(map, key);
-    return found == nullptr ? no_targets : *found;
-}
-
-template <class Map, class Key>
-auto erase_member(Map& map, const Key& key, const target_id& target) -> void
-{
-    const auto found = map.find(key);
-    if (found != map.end()) {
-        found->second.erase(target);
-        if (found->second.empty()) {
-            map.erase(found);
-        }
-    }
-}
-
 inline auto refuse(command_status status) -> command_result
 {
     auto result = command_result{};
--- a/src/state/directory.cpp
+++ b/src/state/directory.cpp
@@ -1,38 +1,10 @@
+#include "target_index.hpp"
+
 #include <rhubarbrun/state/directory.hpp>
 
 namespace rhubarbrun::inline v1 {
 
-namespace {
-
-template <class Map, class Key>
-auto find_in(const Map& map, const Key& key) -> const typename Map::mapped_type*
-{
-    const auto found = map.find(key);
-    return found == map.end() ? nullptr : &found->second;
-}
-
-const auto no_targets = std::set<target_id>();
-
-template <class Map, class Key>
-auto set_in(const Map& map, const Key& key) -> const std::set<target_id>&
-{
-    const auto* const found = find_in(map, key);
-    return found == nullptr ? no_targets : *found;
-}
-
-template <class Map, class Key>
-auto erase_member(Map& map, const Key& key, const target_id& target) -> void
-{
-    const auto found = map.find(key);
-    if (found != map.end()) {
-        found->second.erase(target);
-        if (found->second.empty()) {
-            map.erase(found);
-        }
-    }
-}
-
-} // namespace
+using namespace detail::target_index;
 
 auto to_string(delta_outcome outcome) noexcept -> std::string_view
 {
