--- a/include/rhubarbrun/transport/target_pool.hpp
+++ b/include/rhubarbrun/transport/target_pool.hpp
@@ -54,7 +54,7 @@
 class target_pool : public std::enable_shared_from_this<target_pool>
 {
 public:
-    target_pool(target_pool_options options, target_pool_hooks hooks);
+    target_pool(const target_pool_options& options, target_pool_hooks hooks);
 
     /// Takes an idle connection that is fit for use, if there is one.
     [[nodiscard]] auto take(time_point now) -> std::optional<connection_id>;
--- a/include/rhubarbrun/transport/target_probe.hpp
+++ b/include/rhubarbrun/transport/target_probe.hpp
@@ -16,7 +16,7 @@
 /// the server could not be reached or did not answer as expected.
 auto probe_target(asio::any_io_executor strand,
                   target_connection_options options, duration limit,
-                  std::function<void(std::optional<server_state>)> done)
+                  const std::function<void(std::optional<server_state>)>& done)
     -> void;
 
 } // namespace rhubarbrun::inline v1
--- a/src/transport/proxy_node_http.cpp
+++ b/src/transport/proxy_node_http.cpp
@@ -237,27 +237,28 @@
 
 auto proxy_node::on_dump(const http_reply& reply) -> void
 {
-    collect_targets([this, reply](std::vector<owned_target_status> statuses) {
-        auto result = json_value::object{};
-        result["name"] = self_.id.value();
-        result["incarnation"] = std::to_string(self_.run.value());
-        result["zone"] = settings_.process.zone.value();
-        result["draining"] = is_draining_.load();
-        const auto control = control_->status();
-        auto contact = json_value::object{};
-        contact["registered"] = control.is_registered;
-        contact["holds_lease"] = control.holds_lease;
-        contact["ready"] = control.has_contact;
-        result["control"] = std::move(contact);
-        result["entry"] = describe(entry_->status());
-        result["directory"] = describe_directory(*control_->view());
-        auto targets = json_value::array{};
-        for (const auto& status : statuses) {
-            targets.push_back(describe(status));
-        }
-        result["owned_targets"] = std::move(targets);
-        reply(json_response(result));
-    });
+    collect_targets(
+        [this, reply](const std::vector<owned_target_status>& statuses) {
+            auto result = json_value::object{};
+            result["name"] = self_.id.value();
+            result["incarnation"] = std::to_string(self_.run.value());
+            result["zone"] = settings_.process.zone.value();
+            result["draining"] = is_draining_.load();
+            const auto control = control_->status();
+            auto contact = json_value::object{};
+            contact["registered"] = control.is_registered;
+            contact["holds_lease"] = control.holds_lease;
+            contact["ready"] = control.has_contact;
+            result["control"] = std::move(contact);
+            result["entry"] = describe(entry_->status());
+            result["directory"] = describe_directory(*control_->view());
+            auto targets = json_value::array{};
+            for (const auto& status : statuses) {
+                targets.push_back(describe(status));
+            }
+            result["owned_targets"] = std::move(targets);
+            reply(json_response(result));
+        });
 }
 
 auto proxy_node::on_metrics(const http_reply& reply) -> void
--- a/src/transport/target_pool.cpp
+++ b/src/transport/target_pool.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-target_pool::target_pool(target_pool_options options, target_pool_hooks hooks)
+target_pool::target_pool(const target_pool_options& options,
+                         target_pool_hooks hooks)
     : options_(options),
       hooks_(std::move(hooks)),
       budget_(options.budget),
