--- a/tests/protocol/statement_shape_test.cpp
+++ b/tests/protocol/statement_shape_test.cpp
@@ -92,6 +92,9 @@
     CHECK(kind_of("(SELECT 1) UNION VALUES (2)") == statement_kind::read);
     CHECK(kind_of("EXPLAIN SELECT 1") == statement_kind::read);
     CHECK(kind_of("SELECT * FROM t FOR UPDATE") == statement_kind::write);
+    // A lock clause behind another FOR must not send the query to a replica.
+    CHECK(kind_of("SELECT substring(a FOR 3) FROM t FOR SHARE") ==
+          statement_kind::write);
     CHECK(kind_of("SELECT * FROM t FOR NO KEY UPDATE") ==
           statement_kind::write);
     CHECK(kind_of("WITH x AS (DELETE FROM t RETURNING *) SELECT * FROM x") ==
