--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -1,93 +1,21 @@
 #include <rhubarbrun/transport/target_connection.hpp>
 
-#include <rhubarbrun/protocol/pg_writer.hpp>
+#include "target_answer.hpp"
+#include "target_libpq.hpp"
 
 #include <libpq-fe.h>
 #include <unistd.h>
 
-#include <array>
-#include <atomic>
-#include <limits>
 #include <utility>
-#include <vector>
 
 namespace rhubarbrun::inline v1 {
 
 namespace {
 
-using result_pointer = std::unique_ptr<PGresult, decltype(&PQclear)>;
-using cancel_pointer = std::unique_ptr<PGcancel, decltype(&PQfreeCancel)>;
-
-/// PQcancel blocks until the target's host responds or `user_timeout` is
-/// over, so cancels run on their own threads.
-constexpr auto cancel_threads = std::size_t{2};
-/// More waiting cancels than this are dropped; deadlines still end the
-/// statements.
-constexpr auto max_waiting_cancels = 64;
+/// The protocol counts parameters in 16 bits.
 constexpr auto max_parameters = std::size_t{65535};
 
-/// Field codes of an error, which libpq shares with the protocol.
-constexpr auto diagnostic_fields =
-    std::array{PG_DIAG_SEVERITY,           PG_DIAG_SEVERITY_NONLOCALIZED,
-               PG_DIAG_SQLSTATE,           PG_DIAG_MESSAGE_PRIMARY,
-               PG_DIAG_MESSAGE_DETAIL,     PG_DIAG_MESSAGE_HINT,
-               PG_DIAG_STATEMENT_POSITION, PG_DIAG_INTERNAL_POSITION,
-               PG_DIAG_INTERNAL_QUERY,     PG_DIAG_CONTEXT,
-               PG_DIAG_SCHEMA_NAME,        PG_DIAG_TABLE_NAME,
-               PG_DIAG_COLUMN_NAME,        PG_DIAG_DATATYPE_NAME,
-               PG_DIAG_CONSTRAINT_NAME,    PG_DIAG_SOURCE_FILE,
-               PG_DIAG_SOURCE_LINE,        PG_DIAG_SOURCE_FUNCTION};
-
-auto read_fields(const PGresult* result)
-    -> std::vector<std::pair<char, std::string>>
-{
-    auto fields = std::vector<std::pair<char, std::string>>{};
-    for (const auto code : diagnostic_fields) {
-        if (const auto* text = PQresultErrorField(result, code)) {
-            fields.emplace_back(static_cast<char>(code), text);
-        }
-    }
-    return fields;
-}
-
-auto read_columns(const PGresult* result) -> std::vector<column_description>
-{
-    auto columns = std::vector<column_description>{};
-    const auto count = PQnfields(result);
-    for (auto index = 0; index < count; ++index) {
-        auto column = column_description{};
-        column.name = PQfname(result, index);
-        column.table = PQftable(result, index);
-        column.column = static_cast<std::int16_t>(PQftablecol(result, index));
-        column.type = PQftype(result, index);
-        column.type_size = static_cast<std::int16_t>(PQfsize(result, index));
-        column.type_modifier = PQfmod(result, index);
-        column.format = static_cast<std::int16_t>(PQfformat(result, index));
-        columns.push_back(std::move(column));
-    }
-    return columns;
-}
-
-auto write_rows(pg_writer& out, const PGresult* result) -> void
-{
-    const auto rows = PQntuples(result);
-    const auto columns = PQnfields(result);
-    for (auto row = 0; row < rows; ++row) {
-        out.begin(pg::data_row);
-        out.put_int16(static_cast<std::int16_t>(columns));
-        for (auto column = 0; column < columns; ++column) {
-            if (PQgetisnull(result, row, column) != 0) {
-                out.put_value(std::nullopt);
-                continue;
-            }
-            const auto length =
-                static_cast<std::size_t>(PQgetlength(result, row, column));
-            out.put_uint32(static_cast<std::uint32_t>(length));
-            out.put_bytes({PQgetvalue(result, row, column), length});
-        }
-        out.end();
-    }
-}
+using result_pointer = std::unique_ptr<PGresult, decltype(&PQclear)>;
 
 auto make_error(verdict outcome, std::string_view code, std::string message)
     -> request_error
@@ -99,83 +27,6 @@
     return error;
 }
 
-auto server_options(const target_connection_options& options) -> std::string
-{
-    // Fixed for all sessions that share the connection; see
-    // `is_target_setting`.
-    return "-c idle_in_transaction_session_timeout=" +
-           std::to_string(to_milliseconds(options.idle_in_transaction_limit)) +
-           " -c standard_conforming_strings=on -c datestyle=ISO,MDY"
-           " -c intervalstyle=postgres -c timezone=UTC"
-           " -c bytea_output=hex -c extra_float_digits=1";
-}
-
-auto start_connection(const target_connection_options& options) -> PGconn*
-{
-    const auto parameters = std::vector<std::pair<const char*, std::string>>{
-        {"hostaddr", options.address},
-        {"port", std::to_string(options.port)},
-        {"dbname", options.database},
-        {"user", options.user},
-        {"password", options.password},
-        // The account's own password file is no part of the settings. libpq
-        // warns of a file that is not plain, but not of a missing one.
-        {"passfile", "/dev/null/none"},
-        {"application_name", options.application_name},
-        {"client_encoding", "UTF8"},
-        {"sslmode", "disable"},
-        {"gssencmode", "disable"},
-        {"options", server_options(options)},
-        {"keepalives", "1"},
-        {"keepalives_idle", std::to_string(options.keepalive_idle.count())},
-        {"keepalives_interval",
-         std::to_string(options.keepalive_interval.count())},
-        {"keepalives_count", std::to_string(options.keepalive_count)},
-        {"tcp_user_timeout",
-         std::to_string(to_milliseconds(options.user_timeout))}};
-    auto names = std::vector<const char*>{};
-    auto values = std::vector<const char*>{};
-    for (const auto& [name, value] : parameters) {
-        names.push_back(name);
-        values.push_back(value.c_str());
-    }
-    names.push_back(nullptr);
-    values.push_back(nullptr);
-    return PQconnectStartParams(names.data(), values.data(), 0);
-}
-
-auto cancel_pool() -> asio::thread_pool&
-{
-    // Never destroyed: the destructor would wait for cancels at exit.
-    static auto* pool = new asio::thread_pool(cancel_threads);
-    return *pool;
-}
-
-auto waiting_cancels() -> std::atomic<int>&
-{
-    static auto count = std::atomic<int>{0};
-    return count;
-}
-
-auto send_cancel(PGconn* connection) -> void
-{
-    auto request =
-        std::shared_ptr<PGcancel>(PQgetCancel(connection), &PQfreeCancel);
-    if (!request) {
-        return;
-    }
-    if (waiting_cancels().fetch_add(1) >= max_waiting_cancels) {
-        waiting_cancels().fetch_sub(1);
-        return;
-    }
-    asio::post(cancel_pool(), [request] {
-        auto message = std::array<char, 256>{};
-        PQcancel(request.get(), message.data(),
-                 static_cast<int>(message.size()));
-        waiting_cancels().fetch_sub(1);
-    });
-}
-
 } // namespace
 
 auto target_application_name(const proxy_id& vm, owner_epoch epoch)
@@ -193,7 +44,8 @@
         : strand_(std::move(strand)),
           options_(std::move(options)),
           descriptor_(strand_),
-          timer_(strand_)
+          timer_(strand_),
+          answer_(options_.max_answer_bytes)
     {
     }
 
@@ -213,7 +65,7 @@
         }
         on_connect_ = std::move(handler);
         state_ = state::connecting;
-        connection_ = start_connection(options_);
+        connection_ = detail::start_connection(options_);
         if (connection_ == nullptr || PQstatus(connection_) == CONNECTION_BAD ||
             !duplicate_descriptor())
         {
@@ -247,10 +99,6 @@
         body_ = std::move(body);
         on_run_ = std::move(handler);
         answer_.clear();
-        has_description_ = false;
-        is_too_large_ = false;
-        has_target_error_ = false;
-        target_code_.clear();
         is_flushed_ = false;
         state_ = state::running;
         start_timer(timeout);
@@ -264,7 +112,7 @@
     auto cancel() -> void
     {
         if (state_ == state::running) {
-            send_cancel(connection_);
+            detail::send_cancel(connection_);
         }
     }
 
@@ -327,8 +175,8 @@
 
     auto add_notice(const PGresult* result) -> void
     {
-        if (state_ == state::running && !is_too_large_) {
-            pg_writer(answer_).fields(pg::notice_response, read_fields(result));
+        if (state_ == state::running) {
+            answer_.add_notice(result);
         }
     }
 
@@ -369,7 +217,7 @@
     auto on_timeout() -> void
     {
         if (state_ == state::running) {
-            send_cancel(connection_);
+            detail::send_cancel(connection_);
             lose("the deadline passed");
         } else if (state_ == state::connecting) {
             fail_connect();
@@ -511,7 +359,7 @@
             sent = PQsendQuery(connection_, body_.text.c_str());
             break;
         case statement_form::parameterized:
-            sent = send_parameterized();
+            sent = detail::send_parameterized(connection_, body_);
             break;
         case statement_form::describe:
             is_prepared_ = false;
@@ -526,28 +374,6 @@
         return sent != 0;
     }
 
-    auto send_parameterized() -> int
-    {
-        const auto count = body_.parameters.size();
-        auto types = body_.parameter_types;
-        types.resize(count, 0);
-        auto values = std::vector<const char*>{};
-        auto lengths = std::vector<int>{};
-        auto formats = std::vector<int>{};
-        for (auto index = std::size_t{0}; index < count; ++index) {
-            const auto& value = body_.parameters[index];
-            values.push_back(value ? value->c_str() : nullptr);
-            lengths.push_back(value ? static_cast<int>(value->size()) : 0);
-            formats.push_back(index < body_.parameter_formats.size()
-                                  ? body_.parameter_formats[index]
-                                  : 0);
-        }
-        return PQsendQueryParams(connection_, body_.text.c_str(),
-                                 static_cast<int>(count), types.data(),
-                                 values.data(), lengths.data(), formats.data(),
-                                 body_.result_format);
-    }
-
     auto flush() -> void
     {
         const auto left = PQflush(connection_);
@@ -577,25 +403,23 @@
 
     auto add_result(const PGresult* result) -> void
     {
-        auto out = pg_writer(answer_);
         switch (PQresultStatus(result)) {
         case PGRES_SINGLE_TUPLE:
         case PGRES_TUPLES_OK:
             add_rows(result);
             break;
         case PGRES_COMMAND_OK:
-            if (body_.form == statement_form::describe) {
-                add_description(result);
-            } else {
-                out.command_complete(
-                    PQcmdStatus(const_cast<PGresult*>(result)));
+            if (body_.form != statement_form::describe) {
+                answer_.add_command(result);
+            } else if (is_prepared_) {
+                answer_.add_description(result);
             }
             break;
         case PGRES_EMPTY_QUERY:
-            out.empty(pg::empty_query);
+            answer_.add_empty_query();
             break;
         case PGRES_FATAL_ERROR:
-            add_error(result);
+            answer_.add_error(result);
             break;
         case PGRES_COPY_IN:
         case PGRES_COPY_OUT:
@@ -609,60 +433,11 @@
 
     auto add_rows(const PGresult* result) -> void
     {
-        const auto is_last = PQresultStatus(result) == PGRES_TUPLES_OK;
-        if (!is_too_large_) {
-            auto out = pg_writer(answer_);
-            if (!has_description_) {
-                out.row_description(read_columns(result));
-                has_description_ = true;
-            }
-            write_rows(out, result);
-            if (is_last) {
-                out.command_complete(
-                    PQcmdStatus(const_cast<PGresult*>(result)));
-            }
-        }
-        if (is_last) {
-            has_description_ = false;
-        }
-        if (!is_too_large_ && answer_.size() > options_.max_answer_bytes) {
-            is_too_large_ = true;
-            answer_ = {};
+        const auto was_too_large = answer_.is_too_large();
+        answer_.add_rows(result);
+        if (answer_.is_too_large() && !was_too_large) {
             // Frees the slot early; the rest of the answer is discarded.
-            send_cancel(connection_);
-        }
-    }
-
-    auto add_description(const PGresult* result) -> void
-    {
-        if (!is_prepared_) {
-            return;
-        }
-        auto types = std::vector<std::uint32_t>{};
-        for (auto index = 0; index < PQnparams(result); ++index) {
-            types.push_back(PQparamtype(result, index));
-        }
-        auto out = pg_writer(answer_);
-        out.parameter_description(types);
-        if (PQnfields(result) > 0) {
-            out.row_description(read_columns(result));
-        } else {
-            out.empty(pg::no_data);
-        }
-    }
-
-    auto add_error(const PGresult* result) -> void
-    {
-        const auto* code = PQresultErrorField(result, PG_DIAG_SQLSTATE);
-        if (code == nullptr) {
-            // Made by libpq itself; the connection is lost, which
-            // `finish_step` sees.
-            return;
-        }
-        has_target_error_ = true;
-        target_code_ = code;
-        if (!is_too_large_) {
-            pg_writer(answer_).fields(pg::error_response, read_fields(result));
+            detail::send_cancel(connection_);
         }
     }
 
@@ -673,7 +448,7 @@
             return;
         }
         if (body_.form == statement_form::describe && !is_prepared_ &&
-            !has_target_error_)
+            !answer_.has_error())
         {
             is_prepared_ = true;
             if (PQsendDescribePrepared(connection_, "") == 0) {
@@ -688,15 +463,15 @@
         state_ = state::idle;
         auto result = target_result{};
         result.status = status();
-        result.has_target_error = has_target_error_;
-        result.target_code = target_code_;
-        if (is_too_large_) {
+        result.has_target_error = answer_.has_error();
+        result.target_code = answer_.error_code();
+        if (answer_.is_too_large()) {
             result.error = make_error(
                 verdict::ran, sqlstate::program_limit_exceeded,
                 "the answer is larger than " +
                     std::to_string(options_.max_answer_bytes) + " bytes");
         } else {
-            result.answer = std::exchange(answer_, {});
+            result.answer = answer_.take();
         }
         post_run(std::exchange(on_run_, nullptr), std::move(result));
     }
@@ -725,17 +500,17 @@
             return;
         }
         const auto outcome = lost_verdict();
+        auto result = target_result{};
+        result.has_target_error = answer_.has_error();
+        result.target_code = answer_.error_code();
         release();
         if (before == state::running) {
-            auto result = target_result{};
             result.error =
                 make_error(outcome,
                            outcome == verdict::not_run
                                ? sqlstate::cannot_connect_now
                                : sqlstate::transaction_resolution_unknown,
                            std::move(message));
-            result.has_target_error = has_target_error_;
-            result.target_code = target_code_;
             post_run(std::exchange(on_run_, nullptr), std::move(result));
         } else if (before == state::idle && on_lost_) {
             asio::post(strand_, std::exchange(on_lost_, nullptr));
@@ -751,7 +526,7 @@
         if (connection_ != nullptr) {
             PQfinish(std::exchange(connection_, nullptr));
         }
-        answer_ = {};
+        answer_.clear();
     }
 
     asio::any_io_executor strand_;
@@ -767,12 +542,7 @@
     run_handler on_run_;
     std::function<void()> on_lost_;
     statement body_;
-    std::string answer_;
-    std::string target_code_;
-    bool has_target_error_ = false;
-    /// The present result set has its RowDescription.
-    bool has_description_ = false;
-    bool is_too_large_ = false;
+    detail::target_answer answer_;
     /// All bytes of the statement were taken by the kernel.
     bool is_flushed_ = false;
     /// The Parse step of a describe is done.
