transport: close idle links between proxies by agreement

Cause: links between proxies were opened when first needed and never closed. At 540 nodes each node would end with 539 links and five heartbeats a second on each, far above its budget of 5 KB/s. A proxy also kept only the newest link to a peer, so after the loss of that link an older one was never used again, and a message queued while a link came up waited for the next.

Change: the end that opened a link asks to close it after 10 s without a message other than heartbeats (peer_link_limits::idle); the other end accepts only if no request or open transaction depends on the link (link_work) and it did not use it lately. A use by the asking end revokes the request before the first message. Looking a link up counts as a use. Links to control members stay open. The protocol version is 2; peers of version 1 are not asked. The heartbeat interval of idle links stays as it is.

With the revocation taken out, the test of a message sent between request and answer fails. Bytes per node not measured.

Conclusion: the links of a node are those it used in the last 10 s. Callers of every database at every node would still keep 539 links open.

--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -18,6 +18,12 @@
     hello = 1,
     hello_confirm = 2,
     heartbeat = 3,
+    /// The sender wants to close the link because it is idle. Since version 2.
+    close_request = 4,
+    /// The sender of this uses the link no more; the other end closes it.
+    close_accept = 5,
+    /// The sender of `close_request` uses the link again.
+    close_revoke = 6,
     consensus = 16,
     register_proxy = 32,
     registered = 33,
--- a/include/rhubarbrun/protocol/link_handshake.hpp
+++ b/include/rhubarbrun/protocol/link_handshake.hpp
@@ -21,7 +21,11 @@
 };
 
 /// Versions that this build speaks.
-inline constexpr auto supported_versions = version_range{1, 1};
+inline constexpr auto supported_versions = version_range{1, 2};
+
+/// First version in which an idle link is closed by agreement; a process of
+/// an earlier version would take the request for a fault of its peer.
+inline constexpr auto idle_close_version = std::uint8_t{2};
 
 /// Which end of a link this is.
 enum class link_side : std::uint8_t
--- a/include/rhubarbrun/transport/peer_links.hpp
+++ b/include/rhubarbrun/transport/peer_links.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,10 @@
     duration setup = std::chrono::milliseconds(700);
     duration first_backoff = std::chrono::milliseconds(50);
     duration last_backoff = std::chrono::milliseconds(1000);
+    /// The end that opened a link asks to close it after this long without a
+    /// message other than heartbeats. Links without `peer_link_hooks::is_busy`
+    /// at both ends and links to control members stay open.
+    duration idle = std::chrono::seconds(10);
     /// Bytes that may wait in the send queue of one link.
     std::size_t send_queue = std::size_t{64} * 1024 * 1024;
     /// Links that may be open or in their handshake.
@@ -57,6 +62,9 @@
     std::function<void(const link_info&)> on_link_up;
     std::function<void(const link_info&, message_type, std::string)> on_message;
     std::function<void(const link_info&, std::string_view reason)> on_link_down;
+    /// Whether a request or a transaction depends on the link, however long
+    /// ago the last message was. Called without a lock.
+    std::function<bool(const link_info&)> is_busy = {};
 };
 
 /// Authenticated TCP links between rhubarbrun processes.
@@ -79,8 +87,9 @@
     auto listen(const asio::ip::tcp::endpoint& endpoint)
         -> asio::ip::tcp::endpoint;
 
-    /// Keeps one link to `peer` up until `forget`. A process at `endpoint`
-    /// with another name is refused. A second call changes the endpoint.
+    /// Keeps one link to `peer` up until `forget` or until it is closed
+    /// because it is idle. A process at `endpoint` with another name is
+    /// refused. A second call changes the endpoint.
     auto connect(const peer_name& peer, const asio::ip::tcp::endpoint& endpoint)
         -> void;
 
@@ -97,6 +106,11 @@
     auto send(const peer_name& peer, message_type type,
               std::string_view payload) -> bool;
 
+    /// The newest link to `peer` that takes messages, or no value. The link
+    /// counts as used from now on, so that it is not closed as idle before
+    /// the message for which it was looked up is sent.
+    [[nodiscard]] auto use(const peer_name& peer) -> std::optional<link_id>;
+
     /// Closes a link; on_link_down follows with `reason`.
     auto close(link_id link, std::string_view reason) -> void;
 
--- a/include/rhubarbrun/transport/proxy_node.hpp
+++ b/include/rhubarbrun/transport/proxy_node.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_TRANSPORT_PROXY_NODE_HPP
 
 #include <rhubarbrun/coordination/drain.hpp>
+#include <rhubarbrun/coordination/link_work.hpp>
 #include <rhubarbrun/protocol/secret_key.hpp>
 #include <rhubarbrun/transport/caller_server.hpp>
 #include <rhubarbrun/transport/control_client.hpp>
@@ -86,11 +87,18 @@
         -> std::shared_ptr<owned_target>;
     [[nodiscard]] auto all_targets() const
         -> std::vector<std::shared_ptr<owned_target>>;
+    /// The link to use next, or no value after starting to open one.
     [[nodiscard]] auto find_link(const proxy_id& proxy)
         -> std::optional<link_id>;
     /// Sends at once, or as soon as a link to `proxy` is established.
     auto send_when_linked(const proxy_id& proxy, message_type type,
                           std::string payload) -> void;
+    auto send_unsent(const proxy_id& proxy, link_id link) -> void;
+    [[nodiscard]] auto send_request(link_id link,
+                                    const execute_request& message) -> bool;
+    [[nodiscard]] auto send_cancel(link_id link, const cancel_request& message)
+        -> bool;
+    [[nodiscard]] auto is_busy(const link_info& link) -> bool;
     auto on_link_up(const link_info& link) -> void;
     auto on_link_down(const link_info& link) -> void;
     auto on_message(const link_info& link, message_type type,
@@ -144,7 +152,9 @@
     std::map<target_id, owned> targets_;
 
     ranked_mutex links_mutex_{lock_rank::proxy_links};
-    std::map<proxy_id, link_id> proxy_links_;
+    /// Work of this entry at other owners, and of other entries here.
+    link_work entry_work_;
+    link_work owner_work_;
     struct unsent_message
     {
         message_type type;
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -33,7 +33,8 @@
       handshake_(std::in_place, side, key, self, random_bytes(32)),
       started_(clock::now()),
       last_received_(started_),
-      last_sent_(started_)
+      last_sent_(started_),
+      last_used_(started_)
 {
 }
 
@@ -69,16 +70,16 @@
     }
     {
         const auto lock = std::lock_guard(queue_mutex_);
-        if (is_queue_closed_ || !writer_) {
+        const auto is_heartbeat = type == message_type::heartbeat;
+        const auto is_left = closing_ == close_stage::accepted && !is_heartbeat;
+        if (is_queue_closed_ || !writer_ || is_left) {
             return false;
         }
         if (queued_bytes_ + payload.size() <= limits_.send_queue) {
-            queue_.push_back(writer_->write(type, payload));
-            queued_bytes_ += queue_.back().size();
-            if (!std::exchange(is_writing_, true)) {
-                asio::post(socket_.get_executor(),
-                           [self = shared_from_this()] { self->write(); });
+            if (!is_heartbeat) {
+                note_use();
             }
+            enqueue(writer_->write(type, payload));
             return true;
         }
         is_queue_closed_ = true;
@@ -87,6 +88,31 @@
     return false;
 }
 
+auto peer_connection::use() -> bool
+{
+    const auto lock = std::lock_guard(queue_mutex_);
+    if (is_queue_closed_ || !writer_ || closing_ == close_stage::accepted) {
+        return false;
+    }
+    note_use();
+    return true;
+}
+
+auto peer_connection::note_use() -> void
+{
+    last_used_ = clock::now();
+    if (closing_ == close_stage::asked) {
+        closing_ = close_stage::none;
+        enqueue(writer_->write(message_type::close_revoke, {}));
+    }
+}
+
+auto peer_connection::is_unused_for(clock::time_point now, duration time) const
+    -> bool
+{
+    return now - last_used_ >= time;
+}
+
 auto peer_connection::close(std::string reason) -> void
 {
     asio::post(socket_.get_executor(),
@@ -120,8 +146,7 @@
                 return;
             }
             if (error) {
-                self->shut(error == asio::error::eof ? "closed by the peer"
-                                                     : error.message());
+                self->on_read_error(error);
                 return;
             }
             self->last_received_ = clock::now();
@@ -132,6 +157,19 @@
         });
 }
 
+auto peer_connection::on_read_error(error_code error) -> void
+{
+    if (error != asio::error::eof) {
+        shut(error.message());
+        return;
+    }
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        was_idle_ = closing_ == close_stage::accepted;
+    }
+    shut(was_idle_ ? "idle" : "closed by the peer");
+}
+
 auto peer_connection::on_bytes(std::string_view bytes) -> void
 {
     try {
@@ -186,19 +224,110 @@
         if (!received) {
             break;
         }
-        if (received->type != message_type::heartbeat) {
-            events_.on_message(*this, received->type,
-                               std::move(received->payload));
-        }
+        on_received(std::move(*received));
     }
     if (!is_closed_ && reader_->fault() != frame_fault::none) {
         shut("frame: " + std::string(to_string(reader_->fault())));
     }
 }
 
+auto peer_connection::on_received(frame received) -> void
+{
+    switch (received.type) {
+    case message_type::heartbeat:
+        return;
+    case message_type::close_request:
+        on_close_request(received.payload);
+        return;
+    case message_type::close_accept:
+        on_close_accept(received.payload);
+        return;
+    default:
+        break;
+    }
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        if (closing_ == close_stage::accepted) {
+            closing_ = close_stage::none;
+        }
+        note_use();
+    }
+    if (received.type != message_type::close_revoke) {
+        events_.on_message(*this, received.type, std::move(received.payload));
+    }
+}
+
+auto peer_connection::ask_to_close_if_idle(clock::time_point now) -> void
+{
+    const auto may_ask = is_up_ && info_.is_outgoing && events_.is_busy &&
+                         info_.version >= idle_close_version &&
+                         info_.peer.who.role == peer_role::proxy;
+    if (!may_ask) {
+        return;
+    }
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        const auto is_due =
+            is_unused_for(now, limits_.idle) &&
+            (closing_ == close_stage::none || now - asked_at_ >= limits_.idle);
+        if (!is_due) {
+            return;
+        }
+    }
+    if (events_.is_busy(info_)) {
+        return;
+    }
+    const auto lock = std::lock_guard(queue_mutex_);
+    // A use since the check above means that the link is needed.
+    if (is_unused_for(now, limits_.idle) && !is_queue_closed_) {
+        closing_ = close_stage::asked;
+        asked_at_ = now;
+        enqueue(writer_->write(message_type::close_request,
+                               std::to_string(++close_requests_)));
+    }
+}
+
+auto peer_connection::on_close_request(const std::string& number) -> void
+{
+    if (!events_.is_busy || events_.is_busy(info_)) {
+        return;
+    }
+    const auto lock = std::lock_guard(queue_mutex_);
+    // Half of the time: whoever looked the link up before this moment has
+    // that long to send, and a use that the peer has not seen yet counts.
+    if (is_unused_for(clock::now(), limits_.idle / 2) && !is_queue_closed_) {
+        closing_ = close_stage::accepted;
+        enqueue(writer_->write(message_type::close_accept, number));
+    }
+}
+
+auto peer_connection::on_close_accept(const std::string& number) -> void
+{
+    {
+        const auto lock = std::lock_guard(queue_mutex_);
+        const auto is_answer = closing_ == close_stage::asked &&
+                               number == std::to_string(close_requests_);
+        if (is_queue_closed_) {
+            return;
+        }
+        if (!is_answer) {
+            enqueue(writer_->write(message_type::close_revoke, {}));
+            return;
+        }
+        is_queue_closed_ = true;
+        was_idle_ = true;
+    }
+    shut("idle");
+}
+
 auto peer_connection::send_raw(std::string bytes) -> void
 {
     const auto lock = std::lock_guard(queue_mutex_);
+    enqueue(std::move(bytes));
+}
+
+auto peer_connection::enqueue(std::string bytes) -> void
+{
     queued_bytes_ += bytes.size();
     queue_.push_back(std::move(bytes));
     if (!std::exchange(is_writing_, true)) {
@@ -263,6 +392,7 @@
     if (is_up_ && is_idle) {
         (void)send(message_type::heartbeat, {});
     }
+    ask_to_close_if_idle(now);
     timer_.expires_after(limits_.heartbeat / checks_per_heartbeat);
     timer_.async_wait([self = shared_from_this()](error_code error) {
         if (!error) {
--- a/src/transport/peer_connection.hpp
+++ b/src/transport/peer_connection.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -19,6 +20,16 @@
 
 class peer_connection;
 
+/// How far the agreement to close an idle link is.
+enum class close_stage : std::uint8_t
+{
+    none,
+    /// This end asked; it still uses the link, which revokes the request.
+    asked,
+    /// This end accepted and sends no message unless the peer revokes.
+    accepted,
+};
+
 /// What a connection tells its owner, on the connection's strand.
 struct connection_events
 {
@@ -26,6 +37,8 @@
     /// empty text.
     std::function<std::string(const std::shared_ptr<peer_connection>&)> on_up;
     std::function<void(peer_connection&, message_type, std::string)> on_message;
+    /// Whether work depends on the link; null if it must stay open.
+    std::function<bool(const link_info&)> is_busy;
     /// Called once per connection, up or not.
     std::function<void(const std::shared_ptr<peer_connection>&,
                        std::string_view reason)>
@@ -52,6 +65,12 @@
 
     auto close(std::string reason) -> void;
 
+    /// Marks the link as used; returns whether it takes messages.
+    [[nodiscard]] auto use() -> bool;
+
+    /// Whether both ends agreed to close the link; to be read on the strand.
+    [[nodiscard]] auto was_idle() const noexcept -> bool { return was_idle_; }
+
     /// Set by the owner in on_up; fixed from then on.
     auto set_id(link_id id) -> void { info_.id = id; }
 
@@ -76,6 +95,16 @@
     auto watch() -> void;
     auto shut(const std::string& reason) -> void;
     auto send_raw(std::string bytes) -> void;
+    auto on_read_error(error_code error) -> void;
+    auto on_received(frame received) -> void;
+    auto ask_to_close_if_idle(clock::time_point now) -> void;
+    auto on_close_request(const std::string& number) -> void;
+    auto on_close_accept(const std::string& number) -> void;
+    /// The three below are called with `queue_mutex_` held.
+    auto enqueue(std::string bytes) -> void;
+    auto note_use() -> void;
+    [[nodiscard]] auto is_unused_for(clock::time_point now, duration time) const
+        -> bool;
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
@@ -90,6 +119,7 @@
     clock::time_point last_received_;
     bool is_up_ = false;
     bool is_closed_ = false;
+    bool was_idle_ = false;
 
     /// Guards the members below.
     ranked_mutex queue_mutex_{lock_rank::link_queues};
@@ -100,6 +130,13 @@
     bool is_writing_ = false;
     bool is_queue_closed_ = false;
     clock::time_point last_sent_;
+    /// Of the last message in either direction, heartbeats excluded.
+    clock::time_point last_used_;
+    close_stage closing_ = close_stage::none;
+    clock::time_point asked_at_;
+    /// Counts this end's close requests, so that an answer to an earlier one
+    /// is not taken for an answer to the last.
+    std::uint64_t close_requests_ = 0;
 };
 
 } // namespace rhubarbrun::detail
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -78,6 +78,9 @@
                 dialed->endpoint = endpoint;
                 dialed->backoff = limits_.first_backoff;
                 outdated = dialed->current;
+            } else {
+                // Its link may just be closing because it is idle.
+                dialed->is_wanted = true;
             }
         }
         if (outdated) {
@@ -122,6 +125,20 @@
         return links_.at(*found->second.rbegin());
     }
 
+    auto use(const peer_name& peer) const -> std::optional<link_id>
+    {
+        const auto lock = std::lock_guard(mutex_);
+        const auto found = by_name_.find(peer);
+        if (found == by_name_.end()) {
+            return std::nullopt;
+        }
+        const auto& ids = found->second;
+        const auto usable =
+            std::find_if(ids.rbegin(), ids.rend(),
+                         [this](link_id id) { return links_.at(id)->use(); });
+        return usable == ids.rend() ? std::nullopt : std::optional(*usable);
+    }
+
     auto links() const -> std::vector<link_info>
     {
         const auto lock = std::lock_guard(mutex_);
@@ -179,6 +196,8 @@
         asio::steady_timer timer;
         connection_ptr current;
         bool is_forgotten = false;
+        /// Whether `connect` was called since the link is up.
+        bool is_wanted = false;
     };
     using dialer_ptr = std::shared_ptr<dialer>;
 
@@ -251,6 +270,12 @@
                 });
             }
         };
+        if (hooks_.is_busy) {
+            events.is_busy = [owner](const link_info& link) {
+                const auto self = owner.lock();
+                return !self || self->hooks_.is_busy(link);
+            };
+        }
         events.on_closed = [owner, from](const connection_ptr& connection,
                                          std::string_view reason) {
             if (const auto self = owner.lock()) {
@@ -294,6 +319,7 @@
             by_name_[peer.who].insert(connection->info().id);
             if (dialed) {
                 dialed->backoff = limits_.first_backoff;
+                dialed->is_wanted = false;
             }
         }
         for (const auto& old : replaced) {
@@ -350,14 +376,21 @@
             }
             if (dialed && dialed->current == connection) {
                 dialed->current.reset();
-                retry(dialed);
+                if (connection->was_idle() && !dialed->is_wanted) {
+                    dialed->is_forgotten = true;
+                    dialers_.erase(dialed->peer);
+                } else {
+                    retry(dialed);
+                }
             }
         }
         if (is_stopped) {
             return;
         }
         if (connection->was_up()) {
-            log_event("link_down", event_severity::warning)
+            log_event("link_down", connection->was_idle()
+                                       ? event_severity::information
+                                       : event_severity::warning)
                 .field("peer", info.peer.who)
                 .field("incarnation", info.peer.run)
                 .field("reason", reason);
@@ -491,6 +524,11 @@
     return connection && connection->send(type, payload);
 }
 
+auto peer_links::use(const peer_name& peer) -> std::optional<link_id>
+{
+    return implementation_->use(peer);
+}
+
 auto peer_links::close(link_id link, std::string_view reason) -> void
 {
     if (const auto connection = implementation_->find(link)) {
--- a/src/transport/proxy_node.cpp
+++ b/src/transport/proxy_node.cpp
@@ -67,6 +67,9 @@
                               std::string payload) {
         on_message(link, type, std::move(payload));
     };
+    hooks.is_busy = [this](const link_info& link) {
+        return is_busy(link);
+    };
     const auto identity =
         peer_identity{{peer_role::proxy, settings_.process.name}, self_.run};
     links_ = std::make_unique<peer_links>(context_, key_, identity,
@@ -137,10 +140,10 @@
         return find_link(proxy);
     };
     hooks.send_request = [this](link_id link, const execute_request& message) {
-        return links_->send(link, message_type::execute, encode(message));
+        return send_request(link, message);
     };
     hooks.send_cancel = [this](link_id link, const cancel_request& message) {
-        return links_->send(link, message_type::cancel, encode(message));
+        return send_cancel(link, message);
     };
     hooks.send_query = [this](link_id link, const position_query& message) {
         return links_->send(link, message_type::position_query,
--- a/src/transport/proxy_node_messages.cpp
+++ b/src/transport/proxy_node_messages.cpp
@@ -123,12 +123,9 @@
 
 auto proxy_node::find_link(const proxy_id& proxy) -> std::optional<link_id>
 {
-    {
-        const auto lock = std::lock_guard(links_mutex_);
-        const auto found = proxy_links_.find(proxy);
-        if (found != proxy_links_.end()) {
-            return found->second;
-        }
+    const auto name = peer_name{peer_role::proxy, proxy.value()};
+    if (const auto link = links_->use(name)) {
+        return link;
     }
     const auto view = control_->view();
     const auto* const record = view->find_proxy(proxy);
@@ -138,8 +135,7 @@
     auto ignored = error_code{};
     const auto address = asio::ip::make_address(record->address, ignored);
     if (!ignored) {
-        links_->connect({peer_role::proxy, proxy.value()},
-                        {address, record->tcp_port});
+        links_->connect(name, {address, record->tcp_port});
     }
     return std::nullopt;
 }
@@ -152,29 +148,69 @@
         links_->send(*link, type, payload);
         return;
     }
-    const auto lock = std::lock_guard(links_mutex_);
-    auto& waiting = unsent_[proxy];
-    if (waiting.size() < most_unsent_messages) {
-        waiting.push_back({type, std::move(payload)});
+    {
+        const auto lock = std::lock_guard(links_mutex_);
+        auto& waiting = unsent_[proxy];
+        if (waiting.size() < most_unsent_messages) {
+            waiting.push_back({type, std::move(payload)});
+        }
+    }
+    // The link may have come up since it was looked up.
+    if (const auto opened = find_link(proxy)) {
+        send_unsent(proxy, *opened);
     }
 }
 
-auto proxy_node::on_link_up(const link_info& link) -> void
+auto proxy_node::send_unsent(const proxy_id& proxy, link_id link) -> void
 {
-    if (link.peer.who.role == peer_role::control) {
-        control_->on_link_up(link);
-        return;
-    }
     auto waiting = std::vector<unsent_message>{};
     {
         const auto lock = std::lock_guard(links_mutex_);
-        const auto proxy = proxy_id(link.peer.who.name);
-        proxy_links_[proxy] = link.id;
         waiting = std::exchange(unsent_[proxy], {});
     }
     for (const auto& message : waiting) {
-        links_->send(link.id, message.type, message.payload);
+        links_->send(link, message.type, message.payload);
+    }
+}
+
+auto proxy_node::send_request(link_id link, const execute_request& message)
+    -> bool
+{
+    {
+        const auto lock = std::lock_guard(links_mutex_);
+        entry_work_.on_request({link, message.session}, message.id);
+    }
+    if (links_->send(link, message_type::execute, encode(message))) {
+        return true;
+    }
+    const auto lock = std::lock_guard(links_mutex_);
+    entry_work_.on_link_lost(link);
+    return false;
+}
+
+auto proxy_node::send_cancel(link_id link, const cancel_request& message)
+    -> bool
+{
+    if (message.id == request_id(0)) {
+        const auto lock = std::lock_guard(links_mutex_);
+        entry_work_.on_session_ended({link, message.session});
+    }
+    return links_->send(link, message_type::cancel, encode(message));
+}
+
+auto proxy_node::is_busy(const link_info& link) -> bool
+{
+    const auto lock = std::lock_guard(links_mutex_);
+    return entry_work_.is_busy(link.id) || owner_work_.is_busy(link.id);
+}
+
+auto proxy_node::on_link_up(const link_info& link) -> void
+{
+    if (link.peer.who.role == peer_role::control) {
+        control_->on_link_up(link);
+        return;
     }
+    send_unsent(proxy_id(link.peer.who.name), link.id);
     entry_->on_link_up();
 }
 
@@ -186,10 +222,8 @@
     }
     {
         const auto lock = std::lock_guard(links_mutex_);
-        const auto found = proxy_links_.find(proxy_id(link.peer.who.name));
-        if (found != proxy_links_.end() && found->second == link.id) {
-            proxy_links_.erase(found);
-        }
+        entry_work_.on_link_lost(link.id);
+        owner_work_.on_link_lost(link.id);
     }
     for (const auto& target : all_targets()) {
         target->on_link_lost(link.id);
@@ -222,6 +256,12 @@
     case message_type::execute_reply:
         with(
             [&](execute_reply message) {
+                {
+                    const auto lock = std::lock_guard(links_mutex_);
+                    entry_work_.on_answer(
+                        link.id, message.id, message.error.has_value(),
+                        message.status != transaction_status::idle);
+                }
                 entry_->on_reply(link.id, std::move(message));
             },
             static_cast<const execute_reply*>(nullptr));
@@ -229,6 +269,10 @@
     case message_type::cancel:
         with(
             [&](const cancel_request& message) {
+                if (message.id == request_id(0)) {
+                    const auto lock = std::lock_guard(links_mutex_);
+                    owner_work_.on_session_ended({link.id, message.session});
+                }
                 for (const auto& target : all_targets()) {
                     target->cancel(message, link.id);
                 }
@@ -284,10 +328,18 @@
         return;
     }
     ++executing_;
+    {
+        const auto lock = std::lock_guard(links_mutex_);
+        owner_work_.on_request({link.id, request.session}, request.id);
+    }
     target->submit(std::move(request), link.id,
-                   [this, answer](const execute_reply& reply) {
+                   [this, answer, id = link.id](const execute_reply& reply) {
                        --executing_;
                        answer(reply);
+                       const auto lock = std::lock_guard(links_mutex_);
+                       owner_work_.on_answer(
+                           id, reply.id, reply.error.has_value(),
+                           reply.status != transaction_status::idle);
                    });
 }
 
--- a/tests/transport/peer_links_test.cpp
+++ b/tests/transport/peer_links_test.cpp
@@ -65,7 +65,10 @@
     std::vector<link_info> up;
     std::vector<std::string> down;
     std::vector<std::string> messages;
-    std::function<void()> on_message_hook;
+    /// Called when either end wants to close an idle link.
+    std::function<bool()> on_busy = [] {
+        return false;
+    };
     worker_pool pool{2};
     peer_links links;
     datagrams datagrams_of;
@@ -84,6 +87,9 @@
             [this](const link_info& link, std::string_view reason) {
                 datagrams_of.remove(link);
                 seen.change([&] { down.emplace_back(reason); });
+            },
+            [this](const link_info&) {
+                return on_busy();
             }};
     }
 };
@@ -93,6 +99,31 @@
     return {peer_role::proxy, "server"};
 }
 
+/// Limits under which an unused link is closed soon; it is checked every 5 ms.
+auto short_idle_limits() -> peer_link_limits
+{
+    auto limits = peer_link_limits{};
+    limits.heartbeat = std::chrono::milliseconds(20);
+    limits.idle = std::chrono::milliseconds(100);
+    return limits;
+}
+
+/// Sends like a proxy: over a usable link, or once one is opened.
+auto send_to(node& from, const peer_name& peer,
+             const asio::ip::tcp::endpoint& endpoint, const std::string& text)
+    -> bool
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < end) {
+        if (const auto link = from.links.use(peer)) {
+            return from.links.send(*link, message_type::cancel, text);
+        }
+        from.links.connect(peer, endpoint);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return false;
+}
+
 /// Sends bytes over a fresh connection and waits until the server closes it.
 auto play(const asio::ip::tcp::endpoint& endpoint, const std::string& bytes)
     -> void
@@ -304,3 +335,114 @@
                           "stale") == 0;
     }));
 }
+
+// Guards against links that stay open for ever and against a process that
+// dials again at once what it has just closed.
+TEST_CASE("an idle link is closed by both ends and opened again on demand")
+{
+    auto server = node("server", 'k', short_idle_limits());
+    auto client = node("client", 'k', short_idle_limits());
+    const auto endpoint = server.links.listen(any_port());
+    client.links.connect(name_of_server(), endpoint);
+    REQUIRE(client.wait_up());
+    REQUIRE(client.wait_down());
+    REQUIRE(server.wait_down());
+    CHECK(client.seen.get([&] { return client.down.front() == "idle"; }));
+    CHECK(server.seen.get([&] { return server.down.front() == "idle"; }));
+    CHECK_FALSE(client.links.use(name_of_server()));
+    CHECK(client.seen.get([&] { return client.up.size() == 1; }));
+    CHECK(send_to(client, name_of_server(), endpoint, "again"));
+    CHECK(server.wait_message("again"));
+}
+
+// Guards against a close that ends a request or a transaction of either end.
+TEST_CASE("an idle link stays open while either end needs it")
+{
+    for (const auto is_server_busy : {true, false}) {
+        auto server = node("server", 'k', short_idle_limits());
+        auto client = node("client", 'k', short_idle_limits());
+        auto& busy = is_server_busy ? server : client;
+        auto asked = 0;
+        auto is_released = false;
+        busy.on_busy = [&] {
+            auto result = false;
+            busy.seen.change([&] {
+                ++asked;
+                result = !is_released;
+            });
+            return result;
+        };
+        client.links.connect(name_of_server(), server.links.listen(any_port()));
+        REQUIRE(client.wait_up());
+        REQUIRE(busy.seen.wait([&] { return asked >= 3; }));
+        CHECK(client.seen.get([&] { return client.down.empty(); }));
+        CHECK(
+            client.links.send(name_of_server(), message_type::cancel, "still"));
+        CHECK(server.wait_message("still"));
+        busy.seen.change([&] { is_released = true; });
+        CHECK(client.wait_down());
+        client.links.stop();
+        server.links.stop();
+    }
+}
+
+// Guards against the loss of a request that is sent after the close request
+// and before its answer.
+TEST_CASE("a message sent while the peer agrees to close keeps the link open")
+{
+    auto server = node("server", 'k', short_idle_limits());
+    auto client = node("client", 'k', short_idle_limits());
+    auto is_first = true;
+    server.on_busy = [&] {
+        if (std::exchange(is_first, false)) {
+            CHECK(client.links.send(name_of_server(), message_type::cancel,
+                                    "late"));
+        }
+        return false;
+    };
+    client.links.connect(name_of_server(), server.links.listen(any_port()));
+    REQUIRE(server.wait_message("late"));
+    const auto link = client.links.use(name_of_server());
+    CHECK(client.seen.get([&] { return client.down.empty(); }));
+    REQUIRE(link);
+    CHECK(*link == client.up.front().id);
+    const auto back = peer_name{peer_role::proxy, "client"};
+    CHECK(server.links.send(back, message_type::cancel, "back"));
+    CHECK(client.wait_message("back"));
+    client.links.stop();
+    server.links.stop();
+}
+
+// Guards against messages that are lost, or refused after a link was looked
+// up, when a use at either end meets the closing of the link.
+TEST_CASE("messages sent around the closing of idle links all arrive")
+{
+    auto server = node("server", 'k', short_idle_limits());
+    auto client = node("client", 'k', short_idle_limits());
+    const auto to_server = server.links.listen(any_port());
+    const auto to_client = client.links.listen(any_port());
+    const auto name_of_client = peer_name{peer_role::proxy, "client"};
+    auto random = std::mt19937(61);
+    constexpr auto rounds = std::size_t{15};
+    for (auto round = std::size_t{0}; round < rounds; ++round) {
+        const auto text = std::to_string(round);
+        if (random() % 2 == 0) {
+            CHECK(send_to(client, name_of_server(), to_server, text));
+            CHECK(server.wait_message(text));
+        } else {
+            CHECK(send_to(server, name_of_client, to_client, text));
+            CHECK(client.wait_message(text));
+        }
+        // Not a wait for a condition: the next use is to meet the closing,
+        // which begins about 100 ms after the last one.
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(95) +
+            std::chrono::microseconds(random() % 15000));
+    }
+    client.links.stop();
+    server.links.stop();
+    client.pool.stop();
+    server.pool.stop();
+    CHECK(client.messages.size() + server.messages.size() == rounds);
+    MESSAGE("links that were closed as idle: ", client.down.size());
+}
