transport: put bundle values and learned shapes into force at the owner

Cause: deadline_ms, queue_wait_ms, caller_percent and replicas_wanted had no effect: requests without a deadline had 30 s, a caller filled half of a queue, and all fit replicas shared the reads. queue_length, the weights, the probe timings, session_result_bytes and the connections of the pool were read once, when an owner started. The pool kept back an eighth of the connections instead of reserved_connections_percent, and the owner's probe connection came on top of the limit. A drain waited 5 s for handovers, whatever handover_wait_ms was. The admission request carried no shape, so what was learned of a running statement never reached those of its shape that waited; describing a report counted as a short run of it.

The admission request carries the shape; Describe has a shape of its own, and a statement that did not run teaches nothing.

Without the shape in the request, the update of the queue's settings or that of the pool's limits, the test of that part in owned_target_test fails.

Conclusion: What operators roll is in force without a restart, and reports without a hint leave short reads their slots while the first one runs.

--- a/include/rhubarbrun/coordination/admission.hpp
+++ b/include/rhubarbrun/coordination/admission.hpp
@@ -75,6 +75,12 @@
 {
     /// Statements of one class that may wait.
     std::size_t queue_length = 1024;
+    /// Part of `queue_length` that one caller may fill, at least one place. A
+    /// caller never holds more places than are still free.
+    std::uint32_t caller_percent = 100;
+    /// Longest wait in the queue. Statements of open transactions hold locks
+    /// and are refused only by their deadline.
+    duration longest_wait = duration::max();
     /// Shares of slot time, by class, while every class has work waiting.
     /// Order entry gets nearly everything that it asks for; the others keep
     /// enough to go on.
@@ -183,6 +189,9 @@
     /// new limits; nothing starts until there is room again.
     auto set_limits(admission_limits limits) -> void;
 
+    /// Changes the settings. Statements that wait keep their time limits.
+    auto set_options(admission_options options) -> void;
+
     /// Refuses new work from now on, but serves what waits and the statements
     /// of open transactions.
     auto stop_admitting() -> void;
--- a/include/rhubarbrun/coordination/connection_budget.hpp
+++ b/include/rhubarbrun/coordination/connection_budget.hpp
@@ -4,6 +4,7 @@
 #include <rhubarbrun/state/units.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace rhubarbrun::inline v1 {
 
@@ -13,6 +14,8 @@
     /// Connections that the target accepts from all owners together.
     std::uint32_t limit = 1;
     std::uint32_t slots = 1;
+    /// Connections left unused; `kept_back_connections` if not set.
+    std::optional<std::uint32_t> kept_back;
     /// Connections opened at once. Opening takes about 12 ms, so four at once
     /// give over 300 new connections a second.
     std::uint32_t opens_at_once = 4;
@@ -59,6 +62,11 @@
 public:
     explicit connection_budget(connection_budget_options options);
 
+    /// From the next plan on the new limits apply; spare connections above
+    /// them are closed, those in use are closed once they are idle.
+    auto set_limits(std::uint32_t limit, std::uint32_t slots,
+                    std::uint32_t kept_back) noexcept -> void;
+
     [[nodiscard]] auto plan(time_point now, const connection_use& use)
         -> connection_plan;
 
--- a/include/rhubarbrun/coordination/drain.hpp
+++ b/include/rhubarbrun/coordination/drain.hpp
@@ -68,6 +68,9 @@
 public:
     explicit drain(drain_options options = {});
 
+    /// Changes `drain_options::handover_wait`.
+    auto set_handover_wait(duration wait) noexcept -> void;
+
     /// The first signal starts the drain; the second ends it at once.
     auto on_signal(time_point now) -> void;
 
--- a/include/rhubarbrun/coordination/failure_detector.hpp
+++ b/include/rhubarbrun/coordination/failure_detector.hpp
@@ -32,6 +32,11 @@
     {
     }
 
+    auto set_options(failure_detector_options options) noexcept -> void
+    {
+        options_ = options;
+    }
+
     /// Whether the next probe is due; at most one probe is outstanding.
     [[nodiscard]] auto is_probe_due(time_point now) const noexcept -> bool;
 
--- a/include/rhubarbrun/coordination/read_policy.hpp
+++ b/include/rhubarbrun/coordination/read_policy.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <optional>
 
 namespace rhubarbrun::inline v1 {
@@ -20,6 +21,8 @@
     duration max_age{};
     /// Time at which the caller no longer wants the answer.
     time_point deadline;
+    /// Replicas among which the read is shared; 0 sends it to the primary.
+    std::size_t replicas_wanted = std::numeric_limits<std::size_t>::max();
 };
 
 /// A position of the primary and a time at which it had not yet passed it.
--- a/include/rhubarbrun/protocol/caller_protocol.hpp
+++ b/include/rhubarbrun/protocol/caller_protocol.hpp
@@ -57,8 +57,10 @@
     /// Prepared statements and portals of a session, and their bytes.
     std::size_t max_prepared = 256;
     std::size_t max_prepared_bytes = std::size_t{2} << 20U;
-    /// Deadline of requests for which the caller sets none.
-    duration default_deadline = std::chrono::seconds(30);
+    /// Deadline of a request of a session on `database` that sets none; asked
+    /// for each request, so that a new bundle applies to open sessions.
+    /// Without it the default of `group_limits` applies.
+    std::function<duration(const std::string& database)> default_deadline;
     /// Returns an error to refuse the caller; the default trusts everyone.
     std::function<std::optional<request_error>(const session_start&)>
         authenticate;
@@ -212,6 +214,7 @@
     auto run_local(const statement_info& info, answer_form form) -> bool;
     auto run_set(const statement_info& info) -> bool;
     auto run_reset(const statement_info& info) -> bool;
+    [[nodiscard]] auto default_deadline() const -> duration;
     auto run_show(const statement_info& info, answer_form form) -> bool;
     auto run_deallocate(const statement_info& info) -> bool;
     auto forget_statement(std::string_view name) -> void;
@@ -236,6 +239,7 @@
     caller_events events_;
     session_settings settings_;
     std::string user_;
+    std::string database_;
     std::string application_name_;
     std::string token_;
     std::map<std::string, prepared, std::less<>> prepared_;
--- a/include/rhubarbrun/transport/target_connection.hpp
+++ b/include/rhubarbrun/transport/target_connection.hpp
@@ -97,6 +97,9 @@
     /// it was sent, else `not_run`.
     auto close() -> void;
 
+    /// Changes `target_connection_options::max_answer_bytes`.
+    auto set_max_answer_bytes(std::size_t limit) -> void;
+
     /// Whether `run` may be called.
     [[nodiscard]] auto is_ready() const noexcept -> bool;
     /// Whether the connection was lost or closed, or never opened.
--- a/include/rhubarbrun/transport/target_monitor.hpp
+++ b/include/rhubarbrun/transport/target_monitor.hpp
@@ -50,6 +50,9 @@
 
     target_monitor(target_monitor_options options, target_monitor_hooks hooks);
 
+    /// Applies from the next probe or attempt to connect on.
+    auto set_options(target_monitor_options options) -> void;
+
     /// Connects, probes and notices silence; call every few milliseconds.
     auto tick(time_point now) -> void;
 
--- a/include/rhubarbrun/transport/target_pool.hpp
+++ b/include/rhubarbrun/transport/target_pool.hpp
@@ -36,6 +36,17 @@
     duration connect_limit = std::chrono::seconds(1);
 };
 
+/// Limits of a pool that may change while it is used.
+struct target_pool_limits
+{
+    /// Connections of all owners together, slots, and connections left unused
+    /// for a new owner.
+    std::uint32_t connections = 1;
+    std::uint32_t slots = 1;
+    std::uint32_t kept_back = 0;
+    std::size_t max_answer_bytes = 0;
+};
+
 /// Connections in a pool, for dumps.
 struct target_pool_counts
 {
@@ -71,8 +82,13 @@
         -> void;
 
     /// Opens and closes connections as needed; `waiting` is the number of
-    /// statements that have a slot and no connection.
-    auto tick(time_point now, std::uint32_t waiting) -> void;
+    /// statements that have a slot and no connection, `foreign` that of
+    /// connections of a previous owner that still stand.
+    auto tick(time_point now, std::uint32_t waiting, std::uint32_t foreign)
+        -> void;
+
+    /// Applies to the connections that are open, too.
+    auto set_limits(const target_pool_limits& limits) -> void;
 
     /// Closes all connections; statements that run get their verdict through
     /// their own handlers, and must still give their connections back.
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -26,12 +26,15 @@
 /// Latest time at which the statement must start to be answered in time.
 /// A wrong estimate must not keep a statement from ever running and thus from
 /// being measured again, so at most half of the time left is set aside.
-auto latest_start(time_point now, const admission_request& request)
-    -> time_point
+auto latest_start(time_point now, const admission_request& request,
+                  duration longest_wait) -> time_point
 {
     const auto time_left = std::max(request.deadline - now, duration{});
-    return request.deadline -
-           std::min(time_set_aside * request.estimate.expected, time_left / 2);
+    const auto by_deadline =
+        request.deadline -
+        std::min(time_set_aside * request.estimate.expected, time_left / 2);
+    const auto is_bounded = !request.pin && longest_wait < time_left;
+    return is_bounded ? std::min(by_deadline, now + longest_wait) : by_deadline;
 }
 
 } // namespace
@@ -52,7 +55,7 @@
     statement.index = class_index(request);
     statement.order = ++arrivals_;
     statement.since = now;
-    statement.latest_start = latest_start(now, request);
+    statement.latest_start = latest_start(now, request, options_.longest_wait);
     statement.request = std::move(request);
     statement.estimated_wait = expected_wait(now, statement);
     if (auto error = refusal(now, statement)) {
@@ -227,6 +230,11 @@
     limits_ = limits;
 }
 
+auto admission_queue::set_options(admission_options options) -> void
+{
+    options_ = std::move(options);
+}
+
 auto admission_queue::stop_admitting() -> void
 {
     is_admitting_ = false;
@@ -271,7 +279,8 @@
         refused_.push_back(
             {statement.request.ticket,
              make_error(sqlstate::too_many_connections,
-                        "the deadline passed in the queue of the target",
+                        "the statement waited too long in the queue of the "
+                        "target",
                         now - statement.since)});
     }
 }
--- a/src/coordination/admission_estimate.cpp
+++ b/src/coordination/admission_estimate.cpp
@@ -128,12 +128,14 @@
     if (database == group.databases.end()) {
         return free == 0;
     }
-    // A caller may hold as many places as are still free, so that one caller
-    // takes at most half of the queue.
+    // A caller may also hold only as many places as are still free, so that
+    // one caller takes at most half of the queue.
+    const auto share = std::max<std::size_t>(
+        options_.queue_length * options_.caller_percent / 100, 1);
     const auto caller = database->second.callers.find(request.caller);
     return caller == database->second.callers.end()
                ? free == 0
-               : caller->second.waiting.size() >= free;
+               : caller->second.waiting.size() >= std::min(free, share);
 }
 
 auto admission_queue::refusal(time_point now,
--- a/src/coordination/connection_budget.cpp
+++ b/src/coordination/connection_budget.cpp
@@ -28,12 +28,20 @@
 auto connection_budget::usable(std::uint32_t foreign_connections) const noexcept
     -> std::uint32_t
 {
-    const auto kept_back =
-        kept_back_connections(options_.limit, options_.slots);
+    const auto kept_back = options_.kept_back.value_or(
+        kept_back_connections(options_.limit, options_.slots));
     const auto taken = std::max(kept_back, foreign_connections);
     return options_.limit - std::min(options_.limit, taken);
 }
 
+auto connection_budget::set_limits(std::uint32_t limit, std::uint32_t slots,
+                                   std::uint32_t kept_back) noexcept -> void
+{
+    options_.limit = limit;
+    options_.slots = slots;
+    options_.kept_back = kept_back;
+}
+
 auto connection_budget::note_need(time_point now, std::uint32_t need) -> void
 {
     if (now - peak_since_ >= options_.idle_time) {
--- a/src/coordination/drain.cpp
+++ b/src/coordination/drain.cpp
@@ -4,6 +4,11 @@
 
 drain::drain(drain_options options) : options_(options) {}
 
+auto drain::set_handover_wait(duration wait) noexcept -> void
+{
+    options_.handover_wait = wait;
+}
+
 auto drain::on_signal(time_point now) -> void
 {
     if (phase_ == drain_phase::serving) {
--- a/src/coordination/replica_choice.cpp
+++ b/src/coordination/replica_choice.cpp
@@ -43,6 +43,22 @@
     return result;
 }
 
+/// Keeps the nearest `wanted` candidates, equally near ones by name, so that
+/// the same replicas serve the reads while they are fit.
+auto keep_wanted(std::vector<replica_candidate>& candidates, std::size_t wanted)
+    -> void
+{
+    if (candidates.size() <= wanted) {
+        return;
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const auto& left, const auto& right) {
+                         return left.distance < right.distance;
+                     });
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(wanted),
+                     candidates.end());
+}
+
 } // namespace
 
 auto select_replica(const std::vector<replica_candidate>& candidates,
@@ -149,6 +165,9 @@
 auto replica_choice::choose(time_point now,
                             const read_requirements& requirements) -> read_route
 {
+    if (requirements.replicas_wanted == 0) {
+        return {read_target::primary, std::nullopt, {}};
+    }
     auto candidates = std::vector<replica_candidate>{};
     for (const auto& [target, entry] : replicas_) {
         if (is_usable(now, entry) &&
@@ -165,6 +184,7 @@
     if (candidates.empty()) {
         return wait_for_floor(now, requirements);
     }
+    keep_wanted(candidates, requirements.replicas_wanted);
     const auto index = options_.selector(candidates, options_.random);
     const auto& target = candidates.at(index).target;
     note_sent(target);
--- a/src/protocol/caller_protocol.cpp
+++ b/src/protocol/caller_protocol.cpp
@@ -229,6 +229,7 @@
     reader_.end_startup();
     phase_ = phase::waiting_for_accept;
     user_ = start.user;
+    database_ = start.database;
     application_name_ = start.application_name;
     events_.emplace_back(std::move(start));
 }
--- a/src/protocol/caller_protocol_run.cpp
+++ b/src/protocol/caller_protocol_run.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <rhubarbrun/protocol/pg_writer.hpp>
+#include <rhubarbrun/state/bundle.hpp>
 #include <utility>
 
 // How the statements of a caller are run, locally or at a target.
@@ -153,14 +154,20 @@
     const auto& values = settings_.values();
     request.hinted_class = values.hinted_class;
     request.max_age = values.max_age;
-    request.deadline = values.deadline > duration::zero()
-                           ? values.deadline
-                           : options_.default_deadline;
+    request.deadline = values.deadline > duration::zero() ? values.deadline
+                                                          : default_deadline();
     running_ = running;
     events_.emplace_back(std::move(request));
     return handling::running;
 }
 
+auto caller_protocol::default_deadline() const -> duration
+{
+    return options_.default_deadline
+               ? options_.default_deadline(database_)
+               : std::chrono::milliseconds(group_limits{}.deadline_ms);
+}
+
 auto caller_protocol::is_local(const statement_info& info,
                                bool is_in_block) const -> bool
 {
--- a/src/transport/entry_router_routes.cpp
+++ b/src/transport/entry_router_routes.cpp
@@ -108,6 +108,8 @@
     requirements.floor = caller.token.floor(caller.group);
     requirements.max_age = max_age;
     requirements.deadline = running.deadline;
+    requirements.replicas_wanted =
+        static_cast<std::size_t>(policy.replicas_wanted);
     const auto floor = group.choice.required_position(now, requirements);
     auto where = route{};
     if (!has_floor || !floor) {
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -48,6 +48,8 @@
                  announced.connection_limit);
     result.kept_back = static_cast<std::uint32_t>(
         result.connections * limits.reserved_connections_percent / 100);
+    // One connection is the monitor's.
+    result.connections -= std::min(result.connections, 1U);
     return result;
 }
 
@@ -57,6 +59,8 @@
     const auto& limits = group.config.limits;
     auto options = admission_options{};
     options.queue_length = static_cast<std::size_t>(limits.queue_length);
+    options.caller_percent = static_cast<std::uint32_t>(limits.caller_percent);
+    options.longest_wait = milliseconds(limits.queue_wait_ms);
     options.weights = {static_cast<std::uint32_t>(limits.order_entry_weight),
                        static_cast<std::uint32_t>(limits.lookup_weight),
                        static_cast<std::uint32_t>(limits.report_weight)};
@@ -70,10 +74,23 @@
     auto options = target_pool_options{};
     options.budget.limit = limits.connections;
     options.budget.slots = limits.slots;
+    options.budget.kept_back = limits.kept_back;
     options.budget.random = std::move(random);
     return options;
 }
 
+auto pool_limits(const admission_limits& limits, const group_record& group)
+    -> target_pool_limits
+{
+    auto result = target_pool_limits{};
+    result.connections = limits.connections;
+    result.slots = limits.slots;
+    result.kept_back = limits.kept_back;
+    result.max_answer_bytes =
+        static_cast<std::size_t>(group.config.limits.session_result_bytes);
+    return result;
+}
+
 } // namespace
 
 owned_target::owned_target(asio::io_context& context,
@@ -240,7 +257,7 @@
     monitor_->tick(now);
     const auto waiting =
         static_cast<std::uint32_t>(waiting_for_connection_.size());
-    pool_->tick(now, waiting);
+    pool_->tick(now, waiting, 0);
     const auto is_poll_due = may_write() && !acknowledger_.is_polling() &&
                              now - last_poll_ >= idle_poll_interval;
     if (is_poll_due) {
@@ -364,7 +381,11 @@
 
 auto owned_target::apply_limits() -> void
 {
-    queue_->set_limits(queue_limits(group_, record_));
+    const auto limits = queue_limits(group_, record_);
+    queue_->set_limits(limits);
+    queue_->set_options(queue_options(group_, hooks_.random));
+    pool_->set_limits(pool_limits(limits, group_));
+    monitor_->set_options(monitor_options(timings_));
     acknowledger_.set_mode(group_.config.acknowledge,
                            milliseconds(group_.config.acknowledge_wait_ms));
 }
--- a/src/transport/owned_target_jobs.cpp
+++ b/src/transport/owned_target_jobs.cpp
@@ -32,6 +32,15 @@
     return step == transaction_step::within || step == transaction_step::end;
 }
 
+/// Shape under which the length of a request is learned. Describing a report
+/// takes as long as describing any other statement and says nothing of its
+/// run.
+auto shape_of(const execute_request& request) -> std::string
+{
+    return request.body.form == statement_form::describe ? "describe"
+                                                         : request.shape;
+}
+
 auto hinted_length(const execute_request& request)
     -> std::optional<statement_length>
 {
@@ -166,8 +175,8 @@
     const auto& request = work.request;
     auto entry = admission_request{};
     entry.ticket = ticket;
-    entry.estimate =
-        classifier_.estimate(request.shape, hinted_length(request));
+    entry.shape = shape_of(request);
+    entry.estimate = classifier_.estimate(entry.shape, hinted_length(request));
     entry.priority = class_of(request, entry.estimate);
     entry.caller = request.caller;
     entry.database = group_.config.database;
@@ -320,7 +329,11 @@
     auto& work = jobs_.at(ticket);
     pool_->on_answered(now, *work.connection);
     const auto measured = now - work.started;
-    classifier_.on_finished(work.request.shape, measured);
+    const auto has_run =
+        !result.error || result.error->outcome != verdict::not_run;
+    if (has_run) {
+        classifier_.on_finished(shape_of(work.request), measured);
+    }
     settle_connection(ticket, work, result);
     work.answer.answer = result.answer;
     work.answer.status = result.status;
--- a/src/transport/proxy_node.cpp
+++ b/src/transport/proxy_node.cpp
@@ -13,6 +13,9 @@
 /// Resolution of deadlines and retries while requests are in flight.
 constexpr auto busy_tick_interval = std::chrono::milliseconds(10);
 constexpr auto idle_tick_interval = std::chrono::milliseconds(50);
+/// Time that control takes to move a target to another owner, in addition to
+/// the wait for its open transactions.
+constexpr auto handover_allowance = std::chrono::seconds(3);
 
 } // namespace
 
@@ -170,6 +173,13 @@
         return std::holds_alternative<session_token>(
             parse_session_token(token));
     };
+    options.protocol.default_deadline = [this](const std::string& database) {
+        const auto view = control_->view();
+        const auto* const group = view->find_by_database(database);
+        const auto limits =
+            group == nullptr ? group_limits{} : group->config.limits;
+        return duration(std::chrono::milliseconds(limits.deadline_ms));
+    };
     auto hooks = caller_server_hooks{};
     hooks.on_session = [this](session_id session, const session_start& start) {
         entry_->on_session(session, start);
@@ -234,6 +244,11 @@
     seen.requests_in_flight = entry.in_flight + executing_;
     seen.sessions = callers_->connection_count();
     seen.sessions_in_transaction = entry.in_transaction;
+    if (const auto& bundle = control_->view()->bundle()) {
+        const auto wait =
+            std::chrono::milliseconds(bundle->timings.handover_wait_ms);
+        drain_.set_handover_wait(wait + handover_allowance);
+    }
     const auto former = orders_;
     orders_ = drain_.step(now, seen);
     if (orders_.hand_over_targets && !former.hand_over_targets) {
--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -304,6 +304,11 @@
         return connection_ == nullptr ? 0 : PQbackendPID(connection_);
     }
 
+    auto set_max_answer_bytes(std::size_t limit) -> void
+    {
+        options_.max_answer_bytes = limit;
+    }
+
     auto set_lost_handler(std::function<void()> handler) -> void
     {
         on_lost_ = std::move(handler);
@@ -833,6 +838,11 @@
     return implementation_->backend_process();
 }
 
+auto target_connection::set_max_answer_bytes(std::size_t limit) -> void
+{
+    implementation_->set_max_answer_bytes(limit);
+}
+
 auto target_connection::set_lost_handler(std::function<void()> handler) -> void
 {
     implementation_->set_lost_handler(std::move(handler));
--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -22,6 +22,12 @@
 {
 }
 
+auto target_monitor::set_options(target_monitor_options options) -> void
+{
+    options_ = options;
+    detector_.set_options(options.detector);
+}
+
 auto target_monitor::tick(time_point now) -> void
 {
     if (is_stopped_) {
--- a/src/transport/target_pool.cpp
+++ b/src/transport/target_pool.cpp
@@ -87,7 +87,16 @@
     make_idle(id);
 }
 
-auto target_pool::tick(time_point now, std::uint32_t waiting) -> void
+auto target_pool::set_limits(const target_pool_limits& limits) -> void
+{
+    budget_.set_limits(limits.connections, limits.slots, limits.kept_back);
+    for (auto& [id, entry] : members_) {
+        entry.connection->set_max_answer_bytes(limits.max_answer_bytes);
+    }
+}
+
+auto target_pool::tick(time_point now, std::uint32_t waiting,
+                       std::uint32_t foreign) -> void
 {
     if (is_stopped_) {
         return;
@@ -100,6 +109,7 @@
     use.in_use = count(phase::busy);
     use.open = static_cast<std::uint32_t>(members_.size()) - use.opening;
     use.waiting = waiting;
+    use.foreign = foreign;
     const auto plan = budget_.plan(now, use);
     for (auto opened = std::uint32_t{0}; opened < plan.open; ++opened) {
         open_one();
--- a/tests/coordination/admission_test.cpp
+++ b/tests/coordination/admission_test.cpp
@@ -450,3 +450,51 @@
     CHECK(queue.snapshot().usable_connections == 9);
     CHECK(queue.start_next(start) == admission_ticket(2));
 }
+
+TEST_CASE("one caller fills at most its share of the queue")
+{
+    auto options = admission_options{};
+    options.queue_length = 20;
+    options.caller_percent = 25;
+    auto queue = busy_queue(options);
+    const auto offer_many = [&queue](std::uint64_t first) {
+        auto accepted = 0;
+        for (auto ticket = first; ticket < first + 20; ++ticket) {
+            const auto result =
+                queue.offer(start, make_request(ticket, {}, {}, 1ms));
+            accepted += is_queued(result) ? 1 : 0;
+        }
+        return accepted;
+    };
+    CHECK(offer_many(10) == 5);
+    options.caller_percent = 40;
+    queue.set_options(options);
+    CHECK(offer_many(50) == 3);
+}
+
+TEST_CASE("a statement waits no longer than the limit of the queue")
+{
+    auto options = admission_options{};
+    options.longest_wait = 200ms;
+    auto queue = busy_queue(options);
+    REQUIRE(is_queued(queue.offer(start, make_request(4))));
+    CHECK(queue.expire(start + 200ms).empty());
+    const auto refused = queue.expire(start + 201ms);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error.outcome == verdict::not_run);
+}
+
+TEST_CASE("the limit of the queue does not end waiting transactions")
+{
+    // They hold locks that others wait for.
+    auto options = admission_options{};
+    options.longest_wait = 200ms;
+    auto queue = busy_queue(options);
+    queue.on_transaction_opened(admission_ticket(1), pin_id(1));
+    queue.on_finished(start, admission_ticket(1), 10ms);
+    REQUIRE(is_admitted(queue.offer(start, make_request(4))));
+    auto request = make_request(5);
+    request.pin = pin_id(1);
+    REQUIRE(is_queued(queue.offer(start, request)));
+    CHECK(queue.expire(start + 500ms).empty());
+}
--- a/tests/coordination/connection_budget_test.cpp
+++ b/tests/coordination/connection_budget_test.cpp
@@ -132,3 +132,15 @@
     follow(budget, use, start + 21s, 60s, true);
     CHECK(use.open == 7);
 }
+
+TEST_CASE("the share that is kept back can be set and changed")
+{
+    auto budget = connection_budget(make_options());
+    auto use = connection_use{};
+    use.waiting = 1'000;
+    budget.set_limits(40, 5, 10);
+    follow(budget, use, start, 2s, true);
+    CHECK(use.open == 30);
+    budget.set_limits(40, 5, 30);
+    CHECK(budget.plan(start + 2s, use).close_idle == 20);
+}
--- a/tests/coordination/replica_choice_test.cpp
+++ b/tests/coordination/replica_choice_test.cpp
@@ -250,3 +250,22 @@
     history.add(start + 2s, at(1100, 5));
     CHECK(history.age(now, at(1100, 5)) == now - (start + 2s));
 }
+
+TEST_CASE("reads are shared among as many replicas as the policy wants")
+{
+    auto random = std::mt19937_64(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(far, at(10'000), now, 0, 20ms));
+    choice.on_report(now, report(near_two, at(10'000), now));
+    choice.on_report(now, report(near_one, at(10'000), now));
+    auto wanted = read();
+    wanted.replicas_wanted = 1;
+    for (auto count = 0; count < 5; ++count) {
+        CHECK(choice.choose(now, wanted).target == near_one);
+    }
+    // Another one takes over when the first is lost.
+    choice.on_removed(near_one);
+    CHECK(choice.choose(now, wanted).target == near_two);
+    wanted.replicas_wanted = 0;
+    CHECK(choice.choose(now, wanted).kind == read_target::primary);
+}
--- a/tests/protocol/caller_protocol_test.cpp
+++ b/tests/protocol/caller_protocol_test.cpp
@@ -514,3 +514,24 @@
         static_cast<void>(summary(session.protocol.take_output()));
     });
 }
+
+TEST_CASE("a bundle's deadline applies to open sessions that set none")
+{
+    auto limit = std::chrono::milliseconds(700);
+    auto options = caller_protocol_options{};
+    options.default_deadline = [&limit](const std::string& database) {
+        CHECK(database == "orders");
+        return duration(limit);
+    };
+    session_under_test session(options);
+    session.send(client_messages().query("SELECT 1"));
+    CHECK(session.requests[0].deadline == limit);
+    session.answer("SELECT 1");
+    limit = std::chrono::milliseconds(900);
+    session.send(client_messages().query("SELECT 1"));
+    CHECK(session.requests[1].deadline == limit);
+    session.answer("SELECT 1");
+    session.query("SET rhubarbrun.deadline_ms = 50");
+    session.send(client_messages().query("SELECT 1"));
+    CHECK(session.requests[2].deadline == std::chrono::milliseconds(50));
+}
--- a/tests/transport/fake_target.hpp
+++ b/tests/transport/fake_target.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rhubarbrun::test {
@@ -20,6 +21,8 @@
 {
     std::string bytes;
     bool closes = false;
+    /// The bytes are sent by `release_held` only.
+    bool is_held = false;
 };
 
 /// A scripted server of the PostgreSQL protocol on a loopback port.
@@ -50,6 +53,16 @@
         }
     }
 
+    /// Sends the responses that were held.
+    auto release_held() -> void
+    {
+        for (const auto& [one, bytes] : std::exchange(held_, {})) {
+            auto failure = error_code{};
+            asio::write(one->socket, asio::buffer(bytes), failure);
+        }
+    }
+    [[nodiscard]] auto held() const -> std::size_t { return held_.size(); }
+
     /// Keys of the received CancelRequests.
     std::vector<backend_key> cancelled;
     /// Parameters of the last startup packet.
@@ -109,6 +122,10 @@
             received.push_back(frame.type);
             response = respond_(frame);
         }
+        if (response.is_held) {
+            held_.emplace_back(one, std::move(response.bytes));
+            return;
+        }
         auto failure = error_code{};
         asio::write(one->socket, asio::buffer(response.bytes), failure);
         if (response.closes) {
@@ -139,6 +156,7 @@
     asio::ip::tcp::acceptor acceptor_;
     script respond_;
     std::vector<std::shared_ptr<peer>> peers_;
+    std::vector<std::pair<std::shared_ptr<peer>, std::string>> held_;
 };
 
 /// Runs `context` until `is_done`; fails the test after ten seconds.
--- a/tests/transport/owned_target_test.cpp
+++ b/tests/transport/owned_target_test.cpp
@@ -76,6 +76,7 @@
         } else if (text == "COMMIT") {
             status = transaction_status::idle;
         }
+        result.is_held = text.starts_with("HOLD");
         result.bytes = answer(text);
         const auto is_own_state = text.starts_with("BEGIN") ||
                                   text.starts_with("COMMIT") ||
@@ -122,6 +123,9 @@
             ++timeline;
             return answer_rows({{"t"}}, "SELECT 1");
         }
+        if (text.starts_with("ROWS")) {
+            return answer_rows({{"0123456789"}}, "SELECT 1");
+        }
         if (text.starts_with("INSERT")) {
             return answer_rows({}, "INSERT 0 1");
         }
@@ -190,6 +194,7 @@
         auto group = group_record{};
         group.config.id = group_name;
         group.config.database = "orders";
+        group.config.limits = limits;
         group.primary =
             primary_record{primary, group_term, self, owner_epoch(1), {}};
         delta.groups = {group};
@@ -219,6 +224,20 @@
         return result;
     }
 
+    /// Waits until the queue satisfies `condition`.
+    auto wait_for_queue(
+        const std::function<bool(const admission_snapshot&)>& condition) -> bool
+    {
+        const auto is_met = std::make_shared<bool>(false);
+        return run_until(context, [&] {
+            owned->inspect(
+                [is_met, condition](const owned_target_status& status) {
+                    *is_met = condition(status.queue);
+                });
+            return *is_met;
+        });
+    }
+
     auto wait_until_serving() -> void
     {
         // Shared, because an answer may arrive after the wait.
@@ -235,13 +254,26 @@
                 transaction_step step = transaction_step::single) -> void
     {
         auto request = execute_request{};
+        request.step = step;
+        submit(std::move(request), std::move(text));
+    }
+
+    auto submit_read(std::string text, std::string shape) -> void
+    {
+        auto request = execute_request{};
+        request.is_read_only = true;
+        request.shape = std::move(shape);
+        submit(std::move(request), std::move(text));
+    }
+
+    auto submit(execute_request request, std::string text) -> void
+    {
         request.id = request_id(++last_request);
         request.session = session_id(1);
         request.target = primary_id;
         request.epoch = epoch;
         request.group_term = group_term;
         request.body.text = std::move(text);
-        request.step = step;
         request.time_left_us = duration(limit).count();
         owned->submit(std::move(request), entry_link, [this](execute_reply r) {
             replies.push_back(std::move(r));
@@ -264,6 +296,7 @@
     target_id primary;
     target_presence presence = target_presence::present;
     bool has_lost_server = false;
+    group_limits limits;
     owner_epoch epoch{1};
     duration limit = std::chrono::seconds(5);
     std::uint64_t index = 0;
@@ -481,3 +514,66 @@
     REQUIRE(test.replies.size() == 1);
     CHECK(outcome_of(test.replies[0]) == verdict::ran);
 }
+
+TEST_CASE("a rolled bundle changes the limits of a running owner")
+{
+    // Without it new limits would wait for the next owner of the target.
+    auto test = owner_fixture{};
+    test.limits.slots = 2;
+    test.wait_until_serving();
+    test.owned->set_directory(test.view());
+    for (auto count = 0; count < 4; ++count) {
+        test.submit_read("HOLD", "held");
+    }
+    REQUIRE(run_until(test.context, [&] { return test.target.held() == 2; }));
+    test.limits.slots = 3;
+    test.limits.queue_length = 1;
+    test.owned->set_directory(test.view());
+    REQUIRE(test.wait_for_queue([](const admission_snapshot& queue) {
+        return queue.usable_slots == 3;
+    }));
+    // Two wait, so that the queue is full by the new limit.
+    test.submit_read("HOLD", "held");
+    test.wait_for_replies(1);
+    CHECK(test.replies[0].id == request_id(5));
+    CHECK(outcome_of(test.replies[0]) == verdict::not_run);
+    CHECK(test.replies[0].error->code == sqlstate::too_many_connections);
+}
+
+TEST_CASE("a larger result than a newly rolled bundle allows is refused")
+{
+    auto test = owner_fixture{};
+    test.wait_until_serving();
+    test.submit_read("ROWS", "rows");
+    test.wait_for_replies(1);
+    CHECK(outcome_of(test.replies[0]) == verdict::ran);
+    CHECK_FALSE(test.replies[0].error.has_value());
+    test.limits.session_result_bytes = 4;
+    test.owned->set_directory(test.view());
+    test.submit_read("ROWS", "rows");
+    test.wait_for_replies(2);
+    REQUIRE(test.replies[1].error.has_value());
+    CHECK(test.replies[1].error->code == sqlstate::program_limit_exceeded);
+}
+
+TEST_CASE("a report without a hint is learned as long while it runs")
+{
+    // Reports of one shape would otherwise take the slots of short reads.
+    constexpr auto reports = static_cast<std::size_t>(work_class::report);
+    auto test = owner_fixture{};
+    test.limits.slots = 3;
+    test.wait_until_serving();
+    for (auto count = 0; count < 3; ++count) {
+        test.submit_read("HOLD", "report");
+    }
+    CHECK(test.wait_for_queue([](const admission_snapshot& queue) {
+        return queue.running == 2 && queue.waiting.at(reports) == 1;
+    }));
+    test.target.release_held();
+    REQUIRE(run_until(test.context, [&] { return test.target.held() == 1; }));
+    // What was measured decides about the next ones before they start.
+    test.submit_read("HOLD", "report");
+    CHECK(test.wait_for_queue([](const admission_snapshot& queue) {
+        return queue.running_long == 1 && queue.waiting.at(reports) == 1;
+    }));
+}
