transport: count the work of earlier owners until it is gone

Cause: A new owner ended the backends of earlier ones and served at once. It passed neither foreign_connections nor foreign_running to the queue and the pool, although a backend that was told to end runs on until it sees the order. The pool also opened connections before the first count, and an owner without a lease kept reconnecting what the next owner had ended.

Change: The statement that ends older backends also counts those that stand and those that run a statement, by application name from pg_stat_activity. It is repeated every 20 ms while some stand, and for 2 s after a takeover. The counts reduce the slots and connections of the queue and the pool. No connection is opened before the first count or without a lease. The stand-in lists the state of a session in pg_stat_activity.

Conclusion: The slots and connections of a target hold across a change of owner.

--- a/bench/target_server.cpp
+++ b/bench/target_server.cpp
@@ -277,9 +277,9 @@
     return true;
 }
 
-auto target_server::terminate_older(std::uint64_t epoch) -> std::size_t
+auto target_server::terminate_older(std::uint64_t epoch) -> older_backends
 {
-    auto ended = std::size_t{0};
+    auto counts = older_backends{};
     for (const auto& [process, session] : sessions_) {
         const auto& name = session->application_name();
         const auto slash = name.rfind('/');
@@ -290,10 +290,12 @@
         }
         const auto other = std::strtoull(name.c_str() + slash + 1, nullptr, 10);
         if (other < epoch) {
-            ended += terminate(process) ? 1 : 0;
+            ++counts.standing;
+            counts.running += session->activity() == "active" ? 1U : 0U;
+            counts.ended += terminate(process) ? 1U : 0U;
         }
     }
-    return ended;
+    return counts;
 }
 
 auto target_server::drop_replicas() -> void
@@ -489,12 +491,12 @@
             }
         }
     } else if (name == "pg_stat_activity") {
-        columns = {"pid", "application_name", "datname"};
+        columns = {"pid", "application_name", "datname", "state"};
         for (const auto& [process, session] : sessions_) {
             if (session->is_started()) {
                 result.rows[std::to_string(process)] = {
                     std::to_string(process), session->application_name(),
-                    options_.database};
+                    options_.database, session->activity()};
             }
         }
     } else if (name == "pg_control_checkpoint") {
@@ -535,8 +537,12 @@
                 ? 0U
                 : std::strtoull(parameters[0]->c_str(), nullptr, 10);
         // Nothing is ended while no session executes, as when describing.
-        const auto ended = current_ == nullptr ? 0 : terminate_older(epoch);
-        write_row(out, has_description, {"count"}, {std::to_string(ended)});
+        const auto counts =
+            current_ == nullptr ? older_backends{} : terminate_older(epoch);
+        write_row(out, has_description, {"count", "count", "count"},
+                  {std::to_string(counts.standing),
+                   std::to_string(counts.running),
+                   std::to_string(counts.ended)});
         return true;
     }
     return false;
--- a/bench/target_server.hpp
+++ b/bench/target_server.hpp
@@ -4,6 +4,7 @@
 #include "target_store.hpp"
 
 #include <rhubarbrun/transport/asio.hpp>
+#include <rhubarbrun/transport/target_queries.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -124,7 +125,7 @@
     [[nodiscard]] auto view(const std::string& name) const
         -> std::optional<table>;
     auto terminate(std::uint32_t process) -> bool;
-    [[nodiscard]] auto terminate_older(std::uint64_t epoch) -> std::size_t;
+    [[nodiscard]] auto terminate_older(std::uint64_t epoch) -> older_backends;
     auto promote() -> void;
     auto reload() -> void;
     auto drop_replicas() -> void;
--- a/bench/target_session.cpp
+++ b/bench/target_session.cpp
@@ -495,7 +495,10 @@
             columns = server_.statements().describe(wanted);
         } else if (!answer.empty()) {
             wanted.parameters = 1;
-            columns.emplace_back().name = "count";
+            columns.resize(3);
+            for (auto& column : columns) {
+                column.name = "count";
+            }
         }
         if (message.kind == 'S') {
             types.resize(wanted.parameters, pg::text_type);
@@ -740,6 +743,14 @@
     transaction_.is_read_only = is_read_only;
 }
 
+auto target_session::activity() const -> std::string
+{
+    if (is_busy_) {
+        return "active";
+    }
+    return transaction_.is_explicit ? "idle in transaction" : "idle";
+}
+
 auto target_session::cancel() -> void
 {
     if (is_timed_ || is_waiting_for_lock_) {
--- a/bench/target_session.hpp
+++ b/bench/target_session.hpp
@@ -41,6 +41,8 @@
     {
         return application_name_;
     }
+    /// As in column `state` of `pg_stat_activity`.
+    [[nodiscard]] auto activity() const -> std::string;
     [[nodiscard]] auto is_replica() const -> bool { return is_replica_; }
     [[nodiscard]] auto is_streaming() const -> bool { return is_streaming_; }
     [[nodiscard]] auto is_started() const -> bool { return is_started_; }
--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -82,6 +82,8 @@
     std::size_t waiting_for_second_server = 0;
     admission_snapshot queue;
     target_pool_counts connections;
+    /// Backends of earlier owners that still stand.
+    older_backends older;
 };
 
 /// Everything that the owner of a target holds: its queue, slots, connections
@@ -178,6 +180,10 @@
     auto make_connection() -> std::unique_ptr<target_connection>;
     auto apply_directory() -> void;
     auto apply_limits() -> void;
+    [[nodiscard]] auto limits() const -> admission_limits;
+    /// Whether connections may be opened: without a lease another proxy may
+    /// own the target and fill it.
+    [[nodiscard]] auto may_connect() const -> bool;
     [[nodiscard]] auto is_own_assignment() const -> bool;
     [[nodiscard]] auto is_designated_primary() const -> bool;
     [[nodiscard]] auto may_serve() const -> bool;
@@ -191,6 +197,9 @@
         -> void;
     auto log_role(std::string_view event) const -> void;
     auto terminate_older() -> void;
+    auto on_older_counted(const older_backends& counts) -> void;
+    /// Repeats `terminate_older` while backends of earlier owners may stand.
+    auto watch_older(time_point now) -> void;
     auto promote() -> void;
     auto prepare_primary() -> void;
     auto follow_primary() -> void;
@@ -280,6 +289,11 @@
     time_point last_poll_{};
     /// The role commands of this epoch and term that are done.
     bool has_terminated_older_ = false;
+    /// Backends of earlier owners at the last count, and until when they are
+    /// counted even if none stands.
+    older_backends older_;
+    time_point watch_older_until_{};
+    time_point next_older_count_{};
     bool is_role_command_running_ = false;
     /// Term for which this target was prepared as primary; 0 for none.
     term prepared_term_;
--- a/include/rhubarbrun/transport/target_pool.hpp
+++ b/include/rhubarbrun/transport/target_pool.hpp
@@ -83,9 +83,10 @@
 
     /// Opens and closes connections as needed; `waiting` is the number of
     /// statements that have a slot and no connection, `foreign` that of
-    /// connections of a previous owner that still stand.
-    auto tick(time_point now, std::uint32_t waiting, std::uint32_t foreign)
-        -> void;
+    /// connections of a previous owner that still stand; without it no
+    /// connection is opened.
+    auto tick(time_point now, std::uint32_t waiting,
+              std::optional<std::uint32_t> foreign) -> void;
 
     /// Applies to the connections that are open, too.
     auto set_limits(const target_pool_limits& limits) -> void;
--- a/include/rhubarbrun/transport/target_queries.hpp
+++ b/include/rhubarbrun/transport/target_queries.hpp
@@ -66,11 +66,22 @@
                                   std::string_view user, const target_id& name)
     -> std::vector<statement>;
 
-/// Ends the backends of all owners with an epoch below `epoch`.
+/// Backends of owners with an earlier epoch. A backend that was told to end
+/// stands, and its statement may run, until it has seen the order.
+struct older_backends
+{
+    std::uint32_t standing = 0;
+    /// Of these, how many execute a statement.
+    std::uint32_t running = 0;
+    /// Of these, how many were told to end.
+    std::uint32_t ended = 0;
+};
+
+/// Counts the backends of all owners with an epoch below `epoch`, and tells
+/// them to end.
 [[nodiscard]] auto terminate_older_query(owner_epoch epoch) -> statement;
-/// Number of backends that were ended.
-[[nodiscard]] auto parse_terminated_count(std::string_view answer)
-    -> std::optional<std::uint64_t>;
+[[nodiscard]] auto parse_older_backends(std::string_view answer)
+    -> std::optional<older_backends>;
 
 /// Creates table `rhubarbrun_request` if it does not exist.
 [[nodiscard]] auto create_request_table_query() -> statement;
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -234,13 +234,14 @@
     status.waiting_for_second_server = acknowledger_.waiting();
     status.queue = queue_->snapshot();
     status.connections = pool_->counts();
+    status.older = older_;
     return status;
 }
 
 auto owned_target::schedule_tick() -> void
 {
     const auto is_busy = !jobs_.empty() || failover_ || handover_since_ ||
-                         !has_terminated_older_;
+                         !has_terminated_older_ || older_.standing > 0;
     timer_.expires_after(is_busy ? busy_tick_interval : idle_tick_interval);
     timer_.async_wait([self = weak_from_this()](const error_code& error) {
         const auto target = self.lock();
@@ -254,10 +255,14 @@
 {
     const auto now = hooks_.now();
     schedule_tick();
-    monitor_->tick(now);
+    if (may_connect()) {
+        monitor_->tick(now);
+    }
     const auto waiting =
         static_cast<std::uint32_t>(waiting_for_connection_.size());
-    pool_->tick(now, waiting, 0);
+    const auto is_older_known = has_terminated_older_ && may_connect();
+    pool_->tick(now, waiting,
+                is_older_known ? std::optional(older_.standing) : std::nullopt);
     const auto is_poll_due = may_write() && !acknowledger_.is_polling() &&
                              now - last_poll_ >= idle_poll_interval;
     if (is_poll_due) {
@@ -269,6 +274,7 @@
     }
     expire_jobs(now);
     advance_role();
+    watch_older(now);
     check_primary(now);
     step_handover(now);
     release_if_gone(now);
@@ -381,15 +387,28 @@
 
 auto owned_target::apply_limits() -> void
 {
-    const auto limits = queue_limits(group_, record_);
-    queue_->set_limits(limits);
+    const auto current = limits();
+    queue_->set_limits(current);
     queue_->set_options(queue_options(group_, hooks_.random));
-    pool_->set_limits(pool_limits(limits, group_));
+    pool_->set_limits(pool_limits(current, group_));
     monitor_->set_options(monitor_options(timings_));
     acknowledger_.set_mode(group_.config.acknowledge,
                            milliseconds(group_.config.acknowledge_wait_ms));
 }
 
+auto owned_target::limits() const -> admission_limits
+{
+    auto result = queue_limits(group_, record_);
+    result.foreign_connections = older_.standing;
+    result.foreign_running = older_.running;
+    return result;
+}
+
+auto owned_target::may_connect() const -> bool
+{
+    return !is_stopped_ && is_own_assignment() && hooks_.holds_lease();
+}
+
 auto owned_target::is_own_assignment() const -> bool
 {
     return !is_assignment_over_ && record_.owner &&
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -22,6 +22,12 @@
 constexpr auto control_repeat_interval = std::chrono::milliseconds(500);
 /// A role command that failed is repeated after this.
 constexpr auto role_retry_interval = std::chrono::milliseconds(100);
+/// Backends of earlier owners are counted this often while some stand.
+constexpr auto older_count_interval = std::chrono::milliseconds(20);
+/// An attempt to connect that the previous owner began with its lease may take
+/// a second to appear, so they are counted for longer even if none stands.
+constexpr auto older_check_interval = std::chrono::milliseconds(250);
+constexpr auto older_watch_time = std::chrono::seconds(2);
 
 auto log_status(const target_id& target,
                 const std::optional<server_state>& state) -> void
@@ -121,18 +127,53 @@
     // theirs may commit once this owner has started to serve.
     start_role_command(terminate_older_query(record_.epoch), command_limit,
                        [this](const target_result& result) {
-                           const auto count =
-                               parse_terminated_count(result.answer);
-                           log_event("older_backends_terminated")
-                               .field("target", options_.id)
-                               .field("count", count.value_or(0));
-                           has_terminated_older_ = true;
-                           state_.reset();
-                           advance_role();
-                           pump();
+                           const auto counts =
+                               parse_older_backends(result.answer);
+                           if (counts) {
+                               on_older_counted(*counts);
+                               return;
+                           }
+                           next_role_command_ =
+                               hooks_.now() + role_retry_interval;
                        });
 }
 
+auto owned_target::on_older_counted(const older_backends& counts) -> void
+{
+    const auto now = hooks_.now();
+    const auto is_first = !has_terminated_older_;
+    const auto is_changed = counts.standing != older_.standing;
+    if (is_first || is_changed) {
+        log_event("older_backends_terminated")
+            .field("target", options_.id)
+            .field("count", counts.ended)
+            .field("standing", counts.standing)
+            .field("running", counts.running);
+    }
+    older_ = counts;
+    next_older_count_ = now + (older_.standing > 0 ? older_count_interval
+                                                   : older_check_interval);
+    queue_->set_limits(limits());
+    if (is_first) {
+        has_terminated_older_ = true;
+        watch_older_until_ = now + older_watch_time;
+        state_.reset();
+        advance_role();
+    }
+    pump();
+}
+
+auto owned_target::watch_older(time_point now) -> void
+{
+    const auto is_due = has_terminated_older_ && now >= next_older_count_ &&
+                        (older_.standing > 0 || now < watch_older_until_);
+    const auto can_ask = may_connect() && !is_role_command_running_ &&
+                         monitor_->is_connected() && now >= next_role_command_;
+    if (is_due && can_ask) {
+        terminate_older();
+    }
+}
+
 auto owned_target::promote() -> void
 {
     log_role("promotion_ordered");
--- a/src/transport/target_pool.cpp
+++ b/src/transport/target_pool.cpp
@@ -96,7 +96,7 @@
 }
 
 auto target_pool::tick(time_point now, std::uint32_t waiting,
-                       std::uint32_t foreign) -> void
+                       std::optional<std::uint32_t> foreign) -> void
 {
     if (is_stopped_) {
         return;
@@ -104,12 +104,15 @@
     for (const auto& action : silence_.tick(now)) {
         apply(now, action);
     }
+    if (!foreign) {
+        return;
+    }
     auto use = connection_use{};
     use.opening = count(phase::opening);
     use.in_use = count(phase::busy);
     use.open = static_cast<std::uint32_t>(members_.size()) - use.opening;
     use.waiting = waiting;
-    use.foreign = foreign;
+    use.foreign = *foreign;
     const auto plan = budget_.plan(now, use);
     for (auto opened = std::uint32_t{0}; opened < plan.open; ++opened) {
         open_one();
--- a/src/transport/target_queries.cpp
+++ b/src/transport/target_queries.cpp
@@ -204,22 +204,31 @@
 {
     // At most 18 digits are read, which always fit a bigint.
     return parameterized(
-        "SELECT count(*) FROM (SELECT pg_terminate_backend(pid) AS ended "
+        "SELECT count(*), count(*) FILTER (WHERE state = 'active'), "
+        "count(*) FILTER (WHERE ended) "
+        "FROM (SELECT state, pg_terminate_backend(pid) AS ended "
         "FROM pg_stat_activity WHERE pid <> pg_backend_pid() "
         "AND application_name ~ '^rhubarbrun/.+/[0-9]{1,18}$' "
         "AND substring(application_name FROM '[0-9]{1,18}$')::bigint "
-        "< $1::bigint) AS backends WHERE ended",
+        "< $1::bigint) AS backends",
         {std::to_string(epoch.value())});
 }
 
-auto parse_terminated_count(std::string_view answer)
-    -> std::optional<std::uint64_t>
+auto parse_older_backends(std::string_view answer)
+    -> std::optional<older_backends>
 {
     const auto decoded = decode(answer);
-    if (!decoded || decoded->rows.size() != 1 || decoded->rows[0].empty()) {
+    if (!decoded || decoded->rows.size() != 1 || decoded->rows[0].size() != 3) {
         return std::nullopt;
     }
-    return parse_number<std::uint64_t>(decoded->rows[0][0]);
+    const auto& row = decoded->rows[0];
+    const auto standing = parse_number<std::uint32_t>(row[0]);
+    const auto running = parse_number<std::uint32_t>(row[1]);
+    const auto ended = parse_number<std::uint32_t>(row[2]);
+    if (!standing || !running || !ended) {
+        return std::nullopt;
+    }
+    return older_backends{*standing, *running, *ended};
 }
 
 auto create_request_table_query() -> statement
--- a/tests/transport/fake_target.hpp
+++ b/tests/transport/fake_target.hpp
@@ -65,6 +65,8 @@
 
     /// Keys of the received CancelRequests.
     std::vector<backend_key> cancelled;
+    /// Startup packets received.
+    int starts = 0;
     /// Parameters of the last startup packet.
     startup_parameters started;
     /// Messages received after startup.
@@ -141,6 +143,7 @@
             cancelled.push_back({reader.read_uint32(), reader.read_uint32()});
             return {};
         }
+        ++starts;
         started = parse_startup(body);
         one->reader.end_startup();
         auto bytes = std::string{};
--- a/tests/transport/owned_target_test.cpp
+++ b/tests/transport/owned_target_test.cpp
@@ -48,6 +48,9 @@
     bool drops_writes = false;
     int writes = 0;
     int promotions = 0;
+    /// What a new owner is told of the backends of earlier ones.
+    older_backends older;
+    bool counts_older = true;
     transaction_status status = transaction_status::idle;
 
     auto respond(const pg_frame& frame) -> fake_response
@@ -90,6 +93,8 @@
     auto respond_extended() -> fake_response
     {
         auto result = fake_response{};
+        result.is_held = !counts_older &&
+                         parsed == terminate_older_query(owner_epoch(1)).text;
         auto out = pg_writer(result.bytes);
         out.empty('1');
         out.empty('2');
@@ -115,7 +120,10 @@
                                "SELECT 1");
         }
         if (text == terminate_older_query(owner_epoch(1)).text) {
-            return answer_rows({{"0"}}, "SELECT 1");
+            return answer_rows(
+                {{std::to_string(older.standing), std::to_string(older.running),
+                  std::to_string(older.ended)}},
+                "SELECT 1");
         }
         if (text == promote_query(3).text) {
             ++promotions;
@@ -224,6 +232,16 @@
         return result;
     }
 
+    auto status() -> owned_target_status
+    {
+        const auto result =
+            std::make_shared<std::optional<owned_target_status>>();
+        owned->inspect(
+            [result](const owned_target_status& status) { *result = status; });
+        REQUIRE(run_until(context, [&] { return result->has_value(); }));
+        return **result;
+    }
+
     /// Waits until the queue satisfies `condition`.
     auto wait_for_queue(
         const std::function<bool(const admission_snapshot&)>& condition) -> bool
@@ -266,6 +284,14 @@
         submit(std::move(request), std::move(text));
     }
 
+    auto submit_short_read(std::string text) -> void
+    {
+        auto request = execute_request{};
+        request.is_read_only = true;
+        request.hinted_class = work_class::lookup;
+        submit(std::move(request), std::move(text));
+    }
+
     auto submit(execute_request request, std::string text) -> void
     {
         request.id = request_id(++last_request);
@@ -577,3 +603,60 @@
         return queue.running_long == 1 && queue.waiting.at(reports) == 1;
     }));
 }
+
+TEST_CASE("work of an earlier owner counts until its backends are gone")
+{
+    // A backend that was told to end may run on for a while. Together with the
+    // new owner's work it would exceed the slots and the connections.
+    auto initial = scripted_server{};
+    initial.older = {18, 2, 18};
+    auto test = owner_fixture(primary_id, initial);
+    test.wait_until_serving();
+    for (auto count = 0; count < 3; ++count) {
+        test.submit_short_read("HOLD");
+    }
+    REQUIRE(run_until(test.context, [&] { return test.target.held() == 1; }));
+    auto now = test.status();
+    CHECK(now.queue.usable_slots == 1);
+    CHECK(now.queue.usable_connections == 1);
+    // 18, the probes' own and this one are the limit of 20.
+    CHECK(now.connections.opened == 1);
+    test.server.older = {4, 1, 4};
+    REQUIRE(run_until(test.context, [&] { return test.target.held() == 2; }));
+    CHECK(test.status().queue.usable_slots == 2);
+    test.server.older = {};
+    REQUIRE(run_until(test.context, [&] { return test.target.held() == 3; }));
+    now = test.status();
+    CHECK(now.queue.usable_slots == 3);
+    CHECK(now.queue.usable_connections == 15);
+}
+
+TEST_CASE("no connection is opened before those of earlier owners are known")
+{
+    auto initial = scripted_server{};
+    initial.counts_older = false;
+    auto test = owner_fixture(primary_id, initial);
+    REQUIRE(run_until(test.context, [&] { return test.target.held() == 1; }));
+    test.context.restart();
+    test.context.run_for(std::chrono::milliseconds(100));
+    auto counts = test.status().connections;
+    CHECK(counts.opening + counts.opened == 0);
+    test.server.counts_older = true;
+    test.target.release_held();
+    test.wait_until_serving();
+}
+
+TEST_CASE("an owner without a lease opens no connections")
+{
+    // The next owner would end them, and this one open them again.
+    auto test = owner_fixture{};
+    test.wait_until_serving();
+    test.holds_lease = false;
+    const auto starts = test.target.starts;
+    test.target.drop();
+    test.context.restart();
+    test.context.run_for(std::chrono::milliseconds(300));
+    CHECK(test.target.starts == starts);
+    test.holds_lease = true;
+    CHECK(run_until(test.context, [&] { return test.target.starts > starts; }));
+}
--- a/tests/transport/stand_in_test.cpp
+++ b/tests/transport/stand_in_test.cpp
@@ -186,9 +186,25 @@
     session older(group.context, *group.primary, 3);
     session same(group.context, *group.primary, 4);
     session owner(group.context, *group.primary, 4);
+    session busy(group.context, *group.primary, 2);
     older.run(query("BEGIN"));
-    const auto ended = owner.run(terminate_older_query(owner_epoch(4)));
-    CHECK(parse_terminated_count(ended.answer) == 1U);
+    busy.start(query("SELECT pg_sleep(5)"));
+    REQUIRE(run_until(group.context, [&] {
+        return owner.value("SELECT state FROM pg_stat_activity WHERE "
+                           "application_name = 'rhubarbrun/vm-1/2'") ==
+               "active";
+    }));
+    const auto ended = parse_older_backends(
+        owner.run(terminate_older_query(owner_epoch(4))).answer);
+    REQUIRE(ended.has_value());
+    CHECK(ended->standing == 2);
+    CHECK(ended->running == 1);
+    CHECK(ended->ended == 2);
+    REQUIRE(run_until(group.context, [&] {
+        return parse_older_backends(
+                   owner.run(terminate_older_query(owner_epoch(4))).answer)
+                   ->standing == 0;
+    }));
     CHECK(run_until(group.context,
                     [&] { return older.connection->is_closed(); }));
     CHECK(same.value("SELECT 1") == "1");
