--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -48,6 +48,8 @@
                  announced.connection_limit);
     result.kept_back = static_cast<std::uint32_t>(
         result.connections * limits.reserved_connections_percent / 100);
+    // One connection is the monitor's.
+    result.connections -= std::min(result.connections, 1U);
     return result;
 }
 
@@ -57,6 +59,8 @@
     const auto& limits = group.config.limits;
     auto options = admission_options{};
     options.queue_length = static_cast<std::size_t>(limits.queue_length);
+    options.caller_percent = static_cast<std::uint32_t>(limits.caller_percent);
+    options.longest_wait = milliseconds(limits.queue_wait_ms);
     options.weights = {static_cast<std::uint32_t>(limits.order_entry_weight),
                        static_cast<std::uint32_t>(limits.lookup_weight),
                        static_cast<std::uint32_t>(limits.report_weight)};
@@ -70,10 +74,23 @@
     auto options = target_pool_options{};
     options.budget.limit = limits.connections;
     options.budget.slots = limits.slots;
+    options.budget.kept_back = limits.kept_back;
     options.budget.random = std::move(random);
     return options;
 }
 
+auto pool_limits(const admission_limits& limits, const group_record& group)
+    -> target_pool_limits
+{
+    auto result = target_pool_limits{};
+    result.connections = limits.connections;
+    result.slots = limits.slots;
+    result.kept_back = limits.kept_back;
+    result.max_answer_bytes =
+        static_cast<std::size_t>(group.config.limits.session_result_bytes);
+    return result;
+}
+
 } // namespace
 
 owned_target::owned_target(asio::io_context& context,
@@ -217,13 +234,14 @@
     status.waiting_for_second_server = acknowledger_.waiting();
     status.queue = queue_->snapshot();
     status.connections = pool_->counts();
+    status.older = older_;
     return status;
 }
 
 auto owned_target::schedule_tick() -> void
 {
     const auto is_busy = !jobs_.empty() || failover_ || handover_since_ ||
-                         !has_terminated_older_;
+                         !has_terminated_older_ || older_.standing > 0;
     timer_.expires_after(is_busy ? busy_tick_interval : idle_tick_interval);
     timer_.async_wait([self = weak_from_this()](const error_code& error) {
         const auto target = self.lock();
@@ -237,10 +255,14 @@
 {
     const auto now = hooks_.now();
     schedule_tick();
-    monitor_->tick(now);
+    if (may_connect()) {
+        monitor_->tick(now);
+    }
     const auto waiting =
         static_cast<std::uint32_t>(waiting_for_connection_.size());
-    pool_->tick(now, waiting);
+    const auto is_older_known = has_terminated_older_ && may_connect();
+    pool_->tick(now, waiting,
+                is_older_known ? std::optional(older_.standing) : std::nullopt);
     const auto is_poll_due = may_write() && !acknowledger_.is_polling() &&
                              now - last_poll_ >= idle_poll_interval;
     if (is_poll_due) {
@@ -252,6 +274,7 @@
     }
     expire_jobs(now);
     advance_role();
+    watch_older(now);
     check_primary(now);
     step_handover(now);
     release_if_gone(now);
@@ -364,11 +387,28 @@
 
 auto owned_target::apply_limits() -> void
 {
-    queue_->set_limits(queue_limits(group_, record_));
+    const auto current = limits();
+    queue_->set_limits(current);
+    queue_->set_options(queue_options(group_, hooks_.random));
+    pool_->set_limits(pool_limits(current, group_));
+    monitor_->set_options(monitor_options(timings_));
     acknowledger_.set_mode(group_.config.acknowledge,
                            milliseconds(group_.config.acknowledge_wait_ms));
 }
 
+auto owned_target::limits() const -> admission_limits
+{
+    auto result = queue_limits(group_, record_);
+    result.foreign_connections = older_.standing;
+    result.foreign_running = older_.running;
+    return result;
+}
+
+auto owned_target::may_connect() const -> bool
+{
+    return !is_stopped_ && is_own_assignment() && hooks_.holds_lease();
+}
+
 auto owned_target::is_own_assignment() const -> bool
 {
     return !is_assignment_over_ && record_.owner &&
