transport: keep the answer limit in target_answer

Cause: the limit of an answer became changeable at an open connection while the encoding of answers moved to target_answer, which kept a copy of it. Change: target_answer holds the only limit.

--- a/src/transport/target_answer.cpp
+++ b/src/transport/target_answer.cpp
@@ -92,6 +92,16 @@
     return error_code_;
 }
 
+auto target_answer::max_bytes() const noexcept -> std::size_t
+{
+    return max_bytes_;
+}
+
+auto target_answer::set_max_bytes(std::size_t limit) noexcept -> void
+{
+    max_bytes_ = limit;
+}
+
 auto target_answer::clear() -> void
 {
     *this = target_answer(max_bytes_);
--- a/src/transport/target_answer.hpp
+++ b/src/transport/target_answer.hpp
@@ -23,6 +23,10 @@
     /// SQLSTATE of the last ErrorResponse; empty without one.
     [[nodiscard]] auto error_code() const noexcept -> const std::string&;
 
+    [[nodiscard]] auto max_bytes() const noexcept -> std::size_t;
+
+    /// Applies to what is added from now on.
+    auto set_max_bytes(std::size_t limit) noexcept -> void;
     auto clear() -> void;
     /// Moves the encoded messages out.
     [[nodiscard]] auto take() -> std::string;
--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -154,7 +154,7 @@
 
     auto set_max_answer_bytes(std::size_t limit) -> void
     {
-        options_.max_answer_bytes = limit;
+        answer_.set_max_bytes(limit);
     }
 
     auto set_lost_handler(std::function<void()> handler) -> void
@@ -471,10 +471,10 @@
         result.has_target_error = answer_.has_error();
         result.target_code = answer_.error_code();
         if (answer_.is_too_large()) {
-            result.error = make_error(
-                verdict::ran, sqlstate::program_limit_exceeded,
-                "the answer is larger than " +
-                    std::to_string(options_.max_answer_bytes) + " bytes");
+            result.error =
+                make_error(verdict::ran, sqlstate::program_limit_exceeded,
+                           "the answer is larger than " +
+                               std::to_string(answer_.max_bytes()) + " bytes");
         } else {
             result.answer = answer_.take();
         }
