coordination: give an unconfirmed primary up, and count the live proxies

Cause: an owner went on with a failover once every other proxy had been asked twice without an answer. An owner that reaches control and the replicas but none of its peers could replace a healthy primary.

Change: the control leader tells with each lease grant how many other proxies hold a live lease (version 2 of the internal protocol; version 1 is still spoken and leaves the number out). With none the failover goes on alone at once. With one, one confirmation is enough. With some and no answer for one lease and one renewal interval, the owner releases the target. Each round asks twice as many proxies as the one before, and draining proxies are asked last. At a primary that leaves, open transactions are ended after half of the handover wait, as the group takes no writes meanwhile.

--- a/include/rhubarbrun/coordination/failover.hpp
+++ b/include/rhubarbrun/coordination/failover.hpp
@@ -7,6 +7,7 @@
 #include <rhubarbrun/state/units.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -51,6 +52,10 @@
     duration repeat_interval = std::chrono::milliseconds(250);
     /// Other proxies that must agree that the primary is unreachable.
     std::size_t confirmations = 2;
+    /// After how long without an answer of any other proxy the owner takes
+    /// itself for isolated: one lease and one renewal, so that proxies lost
+    /// together with the primary are not counted as live any more.
+    duration isolation_limit = std::chrono::milliseconds(1800);
 };
 
 /// The group as the owner of its primary sees it when the primary fails.
@@ -88,10 +93,11 @@
     target_id candidate;
 };
 
-/// Gives the primary up: another proxy reaches it, so this owner is cut off.
+/// Gives the primary up, as this owner is cut off.
 struct release_primary
 {
-    proxy_id reachable_from;
+    /// The proxy that reaches the primary; none if no live proxy answered.
+    std::optional<proxy_id> reachable_from;
 };
 
 /// Serves again: the primary answered before a term was proposed.
@@ -134,10 +140,20 @@
     /// Whether the owner may neither send nor acknowledge writes.
     [[nodiscard]] auto is_fenced() const noexcept -> bool { return is_fenced_; }
 
+    /// Number of other proxies with a live lease by the latest grant of the
+    /// control leader; call it before `on_suspected` and `tick`. With none the
+    /// failover goes on alone; with some, one of them has to answer. As long
+    /// as the number is unknown, the failover goes on alone once all were
+    /// asked twice.
+    auto set_live_others(std::optional<std::size_t> count) noexcept -> void
+    {
+        live_others_ = count;
+    }
+
     /// The failure detector says that the primary has failed.
     ///
-    /// @param live_proxies Other proxies that control counts as live, nearest
-    ///        first; those in other zones should come first.
+    /// @param live_proxies Other proxies in the directory; those in other
+    ///        zones should come first. Some may have crashed minutes ago.
     [[nodiscard]] auto on_suspected(time_point now,
                                     std::vector<proxy_id> live_proxies)
         -> std::vector<failover_action>;
@@ -178,6 +194,8 @@
     [[nodiscard]] auto start_collecting(time_point now)
         -> std::vector<failover_action>;
     [[nodiscard]] auto propose(time_point now) -> std::vector<failover_action>;
+    [[nodiscard]] auto step_confirmation(time_point now)
+        -> std::vector<failover_action>;
     [[nodiscard]] auto is_confirmed() const noexcept -> bool;
     /// Whether nobody is left whose answer is worth waiting for. Control keeps
     /// proxies that crashed in the directory for minutes; with few proxies
@@ -196,7 +214,11 @@
     bool is_fenced_ = false;
     time_point last_action_{};
     std::vector<proxy_id> live_proxies_;
+    std::optional<std::size_t> live_others_;
+    time_point suspected_at_{};
     std::size_t asked_ = 0;
+    /// Proxies to ask in the next round.
+    std::size_t batch_ = 0;
     std::set<proxy_id> unreachable_for_;
     std::map<target_id, server_status> statuses_;
     std::optional<time_point> candidate_since_;
--- a/include/rhubarbrun/coordination/lease_holder.hpp
+++ b/include/rhubarbrun/coordination/lease_holder.hpp
@@ -5,6 +5,7 @@
 #include <rhubarbrun/state/units.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace rhubarbrun::inline v1 {
 
@@ -68,6 +69,13 @@
         return now - last_contact_ < silence;
     }
 
+    /// Other proxies with a live lease as of the latest grant, if known.
+    [[nodiscard]] auto live_others() const noexcept
+        -> std::optional<std::uint32_t>
+    {
+        return live_others_;
+    }
+
     /// Gives the lease up at once, for a shutdown.
     auto abandon() noexcept -> void;
 
@@ -76,6 +84,7 @@
     time_point started_at_;
     time_point last_contact_;
     time_point valid_until_ = time_point::min();
+    std::optional<std::uint32_t> live_others_;
     bool is_abandoned_ = false;
 };
 
--- a/include/rhubarbrun/coordination/lease_messages.hpp
+++ b/include/rhubarbrun/coordination/lease_messages.hpp
@@ -5,6 +5,7 @@
 #include <rhubarbrun/state/ids.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace rhubarbrun::inline v1 {
 
@@ -53,12 +54,15 @@
     log_index required_index;
     /// Index of the leader's state; a proxy behind it may ask for a delta.
     log_index directory_index;
+    /// Other proxies with a live lease at the moment of the grant; unknown
+    /// from a leader that speaks version 1 of the internal protocol.
+    std::optional<std::uint32_t> live_others;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
         archive(proxy, status, sent_at_us, duration_us, required_index,
-                directory_index);
+                directory_index, live_others);
     }
 };
 
--- a/include/rhubarbrun/coordination/lease_table.hpp
+++ b/include/rhubarbrun/coordination/lease_table.hpp
@@ -5,6 +5,7 @@
 #include <rhubarbrun/state/ids.hpp>
 #include <rhubarbrun/state/units.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -75,6 +76,13 @@
     /// Whether the proxy's lease was taken as expired and it is not settled.
     [[nodiscard]] auto is_expired(const proxy_identity& proxy) const -> bool;
 
+    /// Number of leases of proxies other than `proxy` that have not run out.
+    ///
+    /// A proxy that restarted counts twice until the lease of its earlier
+    /// incarnation has expired.
+    [[nodiscard]] auto live_others(time_point now, const proxy_id& proxy) const
+        -> std::uint32_t;
+
     /// When the next lease expires.
     [[nodiscard]] auto next_expiry() const -> std::optional<time_point>;
 
--- a/include/rhubarbrun/protocol/internal_messages.hpp
+++ b/include/rhubarbrun/protocol/internal_messages.hpp
@@ -227,6 +227,15 @@
     }
 };
 
+/// Encodes the answer for a link of this protocol version; version 1 has no
+/// number of other live proxies.
+[[nodiscard]] auto encode_lease_answer(const lease_answer& value,
+                                       std::uint8_t version) -> std::string;
+/// Reverse of `encode_lease_answer`.
+[[nodiscard]] auto decode_lease_answer(const std::string& payload,
+                                       std::uint8_t version)
+    -> std::optional<lease_answer>;
+
 // Rules that decode<>() checks beyond the encoding.
 [[nodiscard]] auto is_well_formed(const statement& value) noexcept -> bool;
 [[nodiscard]] auto is_well_formed(const execute_request& value) noexcept
--- a/include/rhubarbrun/protocol/link_handshake.hpp
+++ b/include/rhubarbrun/protocol/link_handshake.hpp
@@ -21,7 +21,7 @@
 };
 
 /// Versions that this build speaks.
-inline constexpr auto supported_versions = version_range{1, 1};
+inline constexpr auto supported_versions = version_range{1, 2};
 
 /// Which end of a link this is.
 enum class link_side : std::uint8_t
--- a/include/rhubarbrun/transport/control_client.hpp
+++ b/include/rhubarbrun/transport/control_client.hpp
@@ -75,6 +75,9 @@
     /// Whether the lease holds at this moment.
     [[nodiscard]] auto holds_lease() const -> bool;
 
+    /// Other proxies with a live lease by the latest grant, if it told.
+    [[nodiscard]] auto live_others() const -> std::optional<std::size_t>;
+
     /// Whether control was heard within the silence limit of the bundle, and a
     /// bundle is in force.
     [[nodiscard]] auto is_ready() const -> bool;
--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -44,6 +44,8 @@
     random_function random;
     /// Whether this proxy's lease holds at this moment.
     std::function<bool()> holds_lease;
+    /// Other proxies with a live lease, if the control leader told it.
+    std::function<std::optional<std::size_t>()> live_others;
     /// Asks another proxy whether it reaches this target; the answer comes
     /// back through `on_confirmation`.
     std::function<void(const proxy_id&, const target_description&)>
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -45,7 +45,10 @@
     }
     phase_ = failover_phase::confirming;
     live_proxies_ = std::move(live_proxies);
+    suspected_at_ = now;
     asked_ = 0;
+    // One proxy more than needed, as one of them may have failed as well.
+    batch_ = options_.confirmations + 1;
     unreachable_for_.clear();
     if (is_confirmed()) {
         return start_collecting(now);
@@ -126,11 +129,7 @@
     const auto is_repeat_due = now - last_action_ >= options_.repeat_interval;
     switch (phase_) {
     case failover_phase::confirming:
-        if (now - last_action_ >= options_.confirmation_limit) {
-            return were_all_asked_twice() ? start_collecting(now)
-                                          : ask_next(now);
-        }
-        return {};
+        return step_confirmation(now);
     case failover_phase::collecting: {
         if (candidate()) {
             if (!candidate_since_) {
@@ -189,14 +188,12 @@
 
 auto failover::ask_next(time_point now) -> std::vector<failover_action>
 {
-    if (live_proxies_.empty()) {
-        return start_collecting(now);
-    }
     last_action_ = now;
     auto batch = std::vector<proxy_id>{};
-    // One proxy more than needed, as one of them may have failed as well.
-    const auto wanted =
-        std::min(options_.confirmations + 1, live_proxies_.size());
+    const auto wanted = std::min(batch_, live_proxies_.size());
+    // A zone may be lost with all the proxies that were asked first; doubling
+    // reaches each of 17 others in the third round.
+    batch_ *= 2;
     while (batch.size() < wanted) {
         batch.push_back(live_proxies_[asked_ % live_proxies_.size()]);
         ++asked_;
@@ -204,6 +201,26 @@
     return {ask_confirmation{std::move(batch)}};
 }
 
+auto failover::step_confirmation(time_point now) -> std::vector<failover_action>
+{
+    // The number of live proxies may have fallen since the last call.
+    if (is_confirmed()) {
+        return start_collecting(now);
+    }
+    const auto may_stand_alone = !unreachable_for_.empty() || !live_others_;
+    const auto is_isolated =
+        !may_stand_alone && now - suspected_at_ >= options_.isolation_limit;
+    if (is_isolated) {
+        phase_ = failover_phase::watching;
+        return {release_primary{std::nullopt}};
+    }
+    if (now - last_action_ < options_.confirmation_limit) {
+        return {};
+    }
+    return may_stand_alone && were_all_asked_twice() ? start_collecting(now)
+                                                     : ask_next(now);
+}
+
 auto failover::start_collecting(time_point now) -> std::vector<failover_action>
 {
     phase_ = failover_phase::collecting;
@@ -227,7 +244,8 @@
 
 auto failover::is_confirmed() const noexcept -> bool
 {
-    const auto wanted = std::min(options_.confirmations, live_proxies_.size());
+    const auto others = live_others_.value_or(live_proxies_.size());
+    const auto wanted = std::min(options_.confirmations, others);
     return unreachable_for_.size() >= wanted;
 }
 
--- a/src/coordination/lease_holder.cpp
+++ b/src/coordination/lease_holder.cpp
@@ -38,6 +38,7 @@
         return grant_outcome::ignored;
     }
     valid_until_ = until;
+    live_others_ = answer.live_others;
     return grant_outcome::extended;
 }
 
--- a/src/coordination/lease_table.cpp
+++ b/src/coordination/lease_table.cpp
@@ -64,6 +64,7 @@
     answer.status = lease_status::granted;
     answer.duration_us = length.count();
     answer.required_index = known.required_index;
+    answer.live_others = live_others(now, request.proxy.id);
     return answer;
 }
 
@@ -131,6 +132,29 @@
            found->second.phase == lease_phase::expired;
 }
 
+auto lease_table::live_others(time_point now, const proxy_id& proxy) const
+    -> std::uint32_t
+{
+    // Called for every renewal, so it does not visit all leases: only those
+    // that ran out since the last `take_expired`, and those of the proxy.
+    auto count = expiries_.size();
+    for (const auto& [expires_at, identity] : expiries_) {
+        if (expires_at > now) {
+            break;
+        }
+        --count;
+    }
+    for (auto own = leases_.lower_bound({proxy, incarnation()});
+         own != leases_.end() && own->first.id == proxy; ++own)
+    {
+        const auto& known = own->second;
+        if (known.phase == lease_phase::live && known.expires_at > now) {
+            --count;
+        }
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
 auto lease_table::next_expiry() const -> std::optional<time_point>
 {
     if (expiries_.empty()) {
--- a/src/protocol/internal_messages.cpp
+++ b/src/protocol/internal_messages.cpp
@@ -16,12 +16,32 @@
 /// Ids become parts of application names, logs and file contents.
 constexpr auto longest_id = std::size_t{64};
 constexpr auto longest_address = std::size_t{45};
+/// First version in which a lease answer counts the other live proxies.
+constexpr auto lease_count_version = std::uint8_t{2};
 
 auto is_id(const std::string& text) noexcept -> bool
 {
     return !text.empty() && text.size() <= longest_id;
 }
 
+/// A lease answer as version 1 of the protocol has it.
+struct lease_answer_without_count
+{
+    lease_answer value;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(value.proxy, value.status, value.sent_at_us, value.duration_us,
+                value.required_index, value.directory_index);
+    }
+};
+
+auto is_well_formed(const lease_answer_without_count& answer) noexcept -> bool
+{
+    return rhubarbrun::is_well_formed(answer.value);
+}
+
 auto is_well_formed_target(const target_description& target) noexcept -> bool
 {
     return is_id(target.id.value()) && is_id(target.group.value()) &&
@@ -61,6 +81,24 @@
            value.duration_us >= 0;
 }
 
+auto encode_lease_answer(const lease_answer& value, std::uint8_t version)
+    -> std::string
+{
+    return version >= lease_count_version
+               ? encode(value)
+               : encode(lease_answer_without_count{value});
+}
+
+auto decode_lease_answer(const std::string& payload, std::uint8_t version)
+    -> std::optional<lease_answer>
+{
+    if (version >= lease_count_version) {
+        return decode<lease_answer>(payload);
+    }
+    const auto answer = decode<lease_answer_without_count>(payload);
+    return answer ? std::optional(answer->value) : std::nullopt;
+}
+
 auto is_well_formed(const directory_delta& value) noexcept -> bool
 {
     const auto has_mode = [](const group_record& group) {
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -76,6 +76,12 @@
     return lease_.holds_at(hooks_.now());
 }
 
+auto control_client::live_others() const -> std::optional<std::size_t>
+{
+    const auto lock = std::lock_guard(lease_mutex_);
+    return lease_.live_others();
+}
+
 auto control_client::is_ready() const -> bool
 {
     const auto directory = view();
@@ -272,8 +278,9 @@
              static_cast<const registered*>(nullptr));
         break;
     case message_type::lease_grant:
-        with([this](const auto& message) { on_lease_answer(message); },
-             static_cast<const lease_answer*>(nullptr));
+        if (const auto answer = decode_lease_answer(payload, link_->version)) {
+            on_lease_answer(*answer);
+        }
         break;
     case message_type::directory_delta:
         with([this](const auto& message) { on_delta(message); },
--- a/src/transport/control_node.cpp
+++ b/src/transport/control_node.cpp
@@ -44,21 +44,22 @@
                   run([this, link] { on_link_down(link); });
               }},
              options_.links),
-      datagrams_(context,
-                 [this](const link_info& link,
-                        const asio::ip::udp::endpoint& sender,
-                        message_type type, const std::string& payload) {
-                     if (type != message_type::renew_lease) {
-                         return;
-                     }
-                     if (auto request = decode<lease_request>(payload)) {
-                         run([this, link, sender, asked = *request] {
-                             datagrams_.send(link.id, sender,
-                                             message_type::lease_grant,
-                                             encode(on_lease(link, asked)));
-                         });
-                     }
-                 }),
+      datagrams_(
+          context,
+          [this](const link_info& link, const asio::ip::udp::endpoint& sender,
+                 message_type type, const std::string& payload) {
+              if (type != message_type::renew_lease) {
+                  return;
+              }
+              if (auto request = decode<lease_request>(payload)) {
+                  run([this, link, sender, asked = *request] {
+                      datagrams_.send(link.id, sender,
+                                      message_type::lease_grant,
+                                      encode_lease_answer(on_lease(link, asked),
+                                                          link.version));
+                  });
+              }
+          }),
       http_(context, options_.http)
 {
     coordinator_ =
--- a/src/transport/control_node_proxies.cpp
+++ b/src/transport/control_node_proxies.cpp
@@ -54,8 +54,9 @@
             payload, [&](const auto& message) { on_register(link, message); });
     } else if (type == message_type::renew_lease) {
         is_valid = with<lease_request>(payload, [&](const auto& message) {
-            links_.send(link.id, message_type::lease_grant,
-                        encode(on_lease(link, message)));
+            links_.send(
+                link.id, message_type::lease_grant,
+                encode_lease_answer(on_lease(link, message), link.version));
         });
     } else if (type == message_type::directory_pull) {
         is_valid = with<directory_pull>(payload, [&](const auto& message) {
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -247,10 +247,12 @@
         return;
     }
     if (failover_) {
+        failover_->set_live_others(hooks_.live_others());
         carry_out(failover_->tick(now));
     } else if (monitor_->has_failed(now)) {
         log_role("primary_suspected");
         failover_ = make_failover(false);
+        failover_->set_live_others(hooks_.live_others());
         carry_out(failover_->on_suspected(now, other_proxies()));
     } else if (record_.presence != target_presence::present) {
         replace_leaving_primary(now);
@@ -262,7 +264,9 @@
     if (!leaving_since_) {
         leaving_since_ = now;
     }
-    const auto limit = std::chrono::milliseconds(timings_.handover_wait_ms);
+    // The group takes no writes meanwhile, unlike during a handover between
+    // proxies; the whole wait would exceed the write gap of 2 s.
+    const auto limit = std::chrono::milliseconds(timings_.handover_wait_ms) / 2;
     if (now - *leaving_since_ >= limit) {
         for (const auto& pin : pins_.expire(now, duration::zero())) {
             release(pin);
@@ -311,7 +315,10 @@
         group.highest_acknowledged = timeline_position{
             prepared_timeline_, acknowledger_.highest_acknowledged()};
     }
-    return std::make_unique<failover>(std::move(group), failover_options{});
+    auto options = failover_options{};
+    options.isolation_limit = std::chrono::milliseconds(
+        timings_.lease_ms + timings_.lease_renewal_ms);
+    return std::make_unique<failover>(std::move(group), options);
 }
 
 auto owned_target::other_proxies() const -> std::vector<proxy_id>
@@ -321,14 +328,18 @@
     const auto* const own = view_->find_proxy(options_.self.id);
     auto near = std::vector<proxy_id>{};
     auto far = std::vector<proxy_id>{};
+    auto draining = std::vector<proxy_id>{};
     for (const auto& [id, record] : view_->proxies()) {
-        if (id == options_.self.id || record.is_draining) {
+        if (id == options_.self.id) {
             continue;
         }
+        // A draining proxy holds its lease and answers until it exits.
         const auto is_near = own != nullptr && own->zone == record.zone;
-        (is_near ? near : far).push_back(id);
+        auto& list = record.is_draining ? draining : is_near ? near : far;
+        list.push_back(id);
     }
     far.insert(far.end(), near.begin(), near.end());
+    far.insert(far.end(), draining.begin(), draining.end());
     return far;
 }
 
@@ -358,7 +369,9 @@
         [this](const release_primary& action) {
             log_event("primary_unreachable_from_here", event_severity::warning)
                 .field("target", options_.id)
-                .field("reachable_from", action.reachable_from);
+                .field("reachable_from", action.reachable_from
+                                             ? action.reachable_from->value()
+                                             : "no_answer");
             hooks_.release(options_.id, record_.epoch);
         },
         [this](const resume_primary&) {
--- a/src/transport/proxy_node_messages.cpp
+++ b/src/transport/proxy_node_messages.cpp
@@ -85,6 +85,9 @@
     hooks.holds_lease = [this] {
         return control_->holds_lease();
     };
+    hooks.live_others = [this] {
+        return control_->live_others();
+    };
     hooks.ask_confirmation = [this](const proxy_id& proxy,
                                     const target_description& target) {
         ask_confirmation(proxy, target);
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+#include <string>
+
 using namespace rhubarbrun;
 using namespace std::chrono_literals;
 
@@ -256,3 +259,88 @@
         process.on_confirmation(start + 400ms, second_peer, true);
     CHECK(find<release_primary>(saved) != nullptr);
 }
+
+// Guards against an owner that reaches control and the replicas, but none of
+// the other proxies, and replaces a healthy primary.
+TEST_CASE("an owner that no live proxy answers gives the primary up")
+{
+    auto process = failover(group(900), {});
+    process.set_live_others(2);
+    static_cast<void>(process.on_suspected(start, {first_peer, second_peer}));
+    for (auto at = 10ms; at < 1800ms; at += 10ms) {
+        const auto actions = process.tick(start + at);
+        CHECK(find<read_positions>(actions) == nullptr);
+        CHECK(find<release_primary>(actions) == nullptr);
+    }
+    const auto actions = process.tick(start + 1800ms);
+    const auto* release = find<release_primary>(actions);
+    REQUIRE(release != nullptr);
+    CHECK_FALSE(release->reachable_from.has_value());
+    CHECK_FALSE(process.is_fenced());
+}
+
+TEST_CASE("crashed proxies of the directory are not waited for")
+{
+    auto process = failover(group(), {});
+    process.set_live_others(0);
+    const auto actions =
+        process.on_suspected(start, {first_peer, second_peer, third_peer});
+    CHECK(find<read_positions>(actions) != nullptr);
+}
+
+// Guards against a group without a primary after the loss of a zone with the
+// primary and all other proxies, whose leases still run for a while.
+TEST_CASE("the failover goes on alone once the other leases have run out")
+{
+    auto process = failover(group(), {});
+    process.set_live_others(2);
+    static_cast<void>(process.on_suspected(start, {first_peer, second_peer}));
+    CHECK(find<read_positions>(process.tick(start + 1200ms)) == nullptr);
+    process.set_live_others(0);
+    CHECK(find<read_positions>(process.tick(start + 1210ms)) != nullptr);
+}
+
+TEST_CASE("the only other live proxy confirms alone")
+{
+    auto process = failover(group(), {});
+    process.set_live_others(1);
+    static_cast<void>(
+        process.on_suspected(start, {first_peer, second_peer, third_peer}));
+    const auto actions = process.on_confirmation(start, second_peer, false);
+    CHECK(find<read_positions>(actions) != nullptr);
+}
+
+TEST_CASE("two confirmations are needed while two others live")
+{
+    auto process = failover(group(), {});
+    process.set_live_others(2);
+    static_cast<void>(process.on_suspected(start, {first_peer, second_peer}));
+    CHECK(process.on_confirmation(start, first_peer, false).empty());
+    // The other one is lost as well; its lease runs out.
+    process.set_live_others(1);
+    CHECK(find<read_positions>(process.tick(start + 10ms)) != nullptr);
+}
+
+// Guards against confirmation rounds that take longer than the write gap
+// allows when a zone is lost with the proxies that are asked first.
+TEST_CASE("every one of 17 other proxies is asked within 600 ms")
+{
+    auto process = failover(group(), {});
+    process.set_live_others(17);
+    auto peers = std::vector<proxy_id>{};
+    for (auto number = 0; number < 17; ++number) {
+        peers.emplace_back("q" + std::to_string(number));
+    }
+    auto asked = std::set<proxy_id>{};
+    const auto note = [&](const std::vector<failover_action>& actions) {
+        if (const auto* ask = find<ask_confirmation>(actions)) {
+            asked.insert(ask->proxies.begin(), ask->proxies.end());
+        }
+    };
+    note(process.on_suspected(start, peers));
+    CHECK(asked.size() == 3);
+    for (auto at = 10ms; at <= 600ms; at += 10ms) {
+        note(process.tick(start + at));
+    }
+    CHECK(asked.size() == 17);
+}
--- a/tests/coordination/lease_test.cpp
+++ b/tests/coordination/lease_test.cpp
@@ -238,8 +238,8 @@
     auto holder = lease_holder(self, time_point(0s));
     CHECK(holder.has_contact(time_point(2999ms), 3s));
     CHECK_FALSE(holder.has_contact(time_point(3s), 3s));
-    auto answer =
-        lease_answer{self, lease_status::granted, 4'000'000, 1'500'000, {}, {}};
+    auto answer = lease_answer{
+        self, lease_status::granted, 4'000'000, 1'500'000, {}, {}, {}};
     CHECK(holder.on_grant(time_point(4s), answer, log_index(1)) ==
           grant_outcome::extended);
     CHECK(holder.has_contact(time_point(6s), 3s));
@@ -251,3 +251,35 @@
     holder.abandon();
     CHECK_FALSE(holder.holds_at(time_point(4s)));
 }
+
+// Guards against an owner that takes crashed proxies for live ones, or itself
+// for one of the others.
+TEST_CASE("a grant counts the other proxies whose leases have not run out")
+{
+    auto table = lease_table{};
+    const auto second = proxy_identity{proxy_id("q"), incarnation(1)};
+    const auto third = proxy_identity{proxy_id("r"), incarnation(1)};
+    const auto later_self = proxy_identity{self.id, self.run.next()};
+    table.start_leading(time_point(0s), lease, {self, second, third},
+                        log_index(1));
+    table.admit(time_point(0s), lease, later_self, log_index(1));
+    const auto renew = [&](time_point now, const proxy_identity& proxy) {
+        return table.renew(now, lease, true, {proxy, 0, log_index(1)},
+                           log_index(1));
+    };
+    // A restarted proxy counts twice until its former lease has expired.
+    CHECK(renew(time_point(1s), second).live_others == 3);
+    const auto answer = renew(time_point(1s), later_self);
+    CHECK(answer.live_others == 2);
+    // The third lease has run out, before and after it was taken as expired.
+    const auto now = time_point(0s) + lease;
+    CHECK(renew(now, later_self).live_others == 1);
+    CHECK(table.take_expired(now).size() == 2);
+    CHECK(renew(now, later_self).live_others == 1);
+
+    auto holder = lease_holder(later_self, time_point(0s));
+    CHECK_FALSE(holder.live_others().has_value());
+    CHECK(holder.on_grant(time_point(1s), answer, log_index(1)) ==
+          grant_outcome::extended);
+    CHECK(holder.live_others() == 2);
+}
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -325,6 +325,7 @@
 {
     prepared_term_ = term(0);
     failover_.reset();
+    leaving_since_.reset();
     is_fenced_ = false;
     followers_.clear();
     for (const auto handle : acknowledger_.abandon()) {
@@ -353,13 +354,44 @@
     if (!is_watched) {
         failover_.reset();
     } else if (failover_) {
+        failover_->set_live_others(hooks_.live_others());
         carry_out(failover_->tick(now()));
     } else if (detector_.has_failed(now())) {
-        start_failover();
+        failover_ = make_failover(false);
+        failover_->set_live_others(hooks_.live_others());
+        carry_out(failover_->on_suspected(now(), other_proxies()));
+    } else if (record_.presence != target_presence::present) {
+        replace_leaving_primary();
     }
 }
 
-auto scenario_owner::start_failover() -> void
+auto scenario_owner::replace_leaving_primary() -> void
+{
+    if (!leaving_since_) {
+        leaving_since_ = now();
+    }
+    // The group takes no writes meanwhile, unlike during a handover between
+    // proxies; the whole wait would exceed the write gap of 2 s.
+    const auto limit = milliseconds(timings_.handover_wait_ms) / 2;
+    if (now() - *leaving_since_ >= limit) {
+        for (const auto& pin : pins_.expire(now(), duration::zero())) {
+            release(pin);
+        }
+    }
+    const auto is_idle = jobs_.empty() && pins_.size() == 0;
+    if (!is_idle || !may_write()) {
+        return;
+    }
+    auto process = make_failover(true);
+    if (process) {
+        failover_ = std::move(process);
+        is_fenced_ = true;
+        carry_out(failover_->start_planned(now()));
+    }
+}
+
+auto scenario_owner::make_failover(bool is_planned) const
+    -> std::unique_ptr<failover>
 {
     auto group = failover_group{};
     group.id = group_.config.id;
@@ -367,27 +399,47 @@
     group.primary = id_;
     group.acknowledge = group_.config.acknowledge;
     for (const auto& member : hooks_.view().targets_of(group_.config.id)) {
-        if (member != id_) {
-            group.others.push_back(member);
+        if (member == id_) {
+            continue;
+        }
+        group.others.push_back(member);
+        const auto presence = hooks_.view().find_target(member)->presence;
+        const auto is_excluded =
+            presence == target_presence::gone ||
+            (is_planned && presence == target_presence::leaving);
+        if (is_excluded) {
+            group.excluded.insert(member);
         }
     }
+    if (is_planned && group.excluded.size() == group.others.size()) {
+        return nullptr;
+    }
     if (prepared_term_ == group.current_term && state_) {
         group.highest_acknowledged = timeline_position{
             state_->timeline, acknowledger_.highest_acknowledged()};
     }
+    auto options = failover_options{};
+    options.isolation_limit =
+        milliseconds(timings_.lease_ms + timings_.lease_renewal_ms);
+    return std::make_unique<failover>(std::move(group), options);
+}
+
+auto scenario_owner::other_proxies() const -> std::vector<proxy_id>
+{
     auto near = std::vector<proxy_id>{};
     auto far = std::vector<proxy_id>{};
+    auto draining = std::vector<proxy_id>{};
     const auto* const own = hooks_.view().find_proxy(self_.id);
     for (const auto& [id, proxy] : hooks_.view().proxies()) {
-        if (id != self_.id && !proxy.is_draining) {
+        if (id != self_.id) {
             const auto is_near = own != nullptr && own->zone == proxy.zone;
-            (is_near ? near : far).push_back(id);
+            auto& list = proxy.is_draining ? draining : is_near ? near : far;
+            list.push_back(id);
         }
     }
     far.insert(far.end(), near.begin(), near.end());
-    failover_ =
-        std::make_unique<failover>(std::move(group), failover_options{});
-    carry_out(failover_->on_suspected(now(), std::move(far)));
+    far.insert(far.end(), draining.begin(), draining.end());
+    return far;
 }
 
 auto scenario_owner::carry_out(const std::vector<failover_action>& actions)
--- a/tests/coordination/scenario_owner.hpp
+++ b/tests/coordination/scenario_owner.hpp
@@ -48,6 +48,9 @@
     /// Lost write: the answer of a poll that was sent before a commit counts
     /// for that commit.
     count_earlier_poll,
+    /// Healthy primary replaced: the owner does not know how many others live
+    /// and takes their silence for agreement.
+    trust_silence,
 };
 
 struct scenario_request
@@ -95,6 +98,7 @@
 struct scenario_owner_hooks
 {
     std::function<bool()> holds_lease;
+    std::function<std::optional<std::size_t>()> live_others;
     std::function<const directory&()> view;
     std::function<scenario_server&(const target_id&)> server;
     std::function<void(const proxy_id&, const target_id&)> ask_confirmation;
@@ -180,7 +184,10 @@
     auto prepare_primary() -> void;
     auto leave_role() -> void;
     auto check_primary() -> void;
-    auto start_failover() -> void;
+    auto replace_leaving_primary() -> void;
+    [[nodiscard]] auto make_failover(bool is_planned) const
+        -> std::unique_ptr<failover>;
+    [[nodiscard]] auto other_proxies() const -> std::vector<proxy_id>;
     auto carry_out(const std::vector<failover_action>& actions) -> void;
     auto read_status_of(const target_id& target) -> void;
     auto step_handover() -> void;
@@ -241,6 +248,7 @@
     time_point next_claim_{};
     term prepared_term_;
     term followed_term_;
+    std::optional<time_point> leaving_since_;
     bool is_fenced_ = false;
     std::optional<time_point> handover_since_;
     time_point next_release_{};
--- a/tests/coordination/scenario_proxy_control.cpp
+++ b/tests/coordination/scenario_proxy_control.cpp
@@ -282,6 +282,12 @@
     hooks.holds_lease = [this] {
         return lease_->holds_at(now());
     };
+    hooks.live_others = [this]() -> std::optional<std::size_t> {
+        if (fault_ == scenario_fault::trust_silence) {
+            return std::nullopt;
+        }
+        return lease_->live_others();
+    };
     hooks.view = [this]() -> const directory& {
         return copy_;
     };
--- a/tests/coordination/scenario_test.cpp
+++ b/tests/coordination/scenario_test.cpp
@@ -69,6 +69,8 @@
         {"link_lost_write", scenario_fault::resend_non_idempotent,
          "invariant 6"},
         {"replica_leaves", scenario_fault::ignore_leaving, "invariant 7"},
+        {"owner_isolated_from_proxies", scenario_fault::trust_silence,
+         "expect = \"term\""},
         {"proxy_drained", scenario_fault::exit_at_once, "invariant 8"},
         {"bundle_rolled", scenario_fault::forget_log, "invariant 9"},
         {"poll_race", scenario_fault::count_earlier_poll,
--- a/tests/protocol/internal_messages_test.cpp
+++ b/tests/protocol/internal_messages_test.cpp
@@ -119,3 +119,26 @@
         }
     }
 }
+
+// Guards against a release that cannot be rolled out proxy by proxy.
+TEST_CASE("a lease answer is understood by version 1 of the protocol")
+{
+    auto answer = lease_answer{};
+    answer.proxy = {proxy_id("p1"), incarnation(2)};
+    answer.status = lease_status::granted;
+    answer.duration_us = 1'500'000;
+    answer.live_others = 7;
+
+    const auto now = decode_lease_answer(encode_lease_answer(answer, 2), 2);
+    REQUIRE(now);
+    CHECK(now->live_others == 7);
+
+    const auto former = encode_lease_answer(answer, 1);
+    CHECK(former.size() + 5 == encode(answer).size());
+    const auto decoded = decode_lease_answer(former, 1);
+    REQUIRE(decoded);
+    CHECK(decoded->proxy == answer.proxy);
+    CHECK(decoded->duration_us == answer.duration_us);
+    CHECK_FALSE(decoded->live_others.has_value());
+    CHECK_FALSE(decode_lease_answer(former, 2).has_value());
+}
--- a/tests/transport/owned_target_test.cpp
+++ b/tests/transport/owned_target_test.cpp
@@ -152,6 +152,9 @@
         hooks.holds_lease = [this] {
             return holds_lease;
         };
+        hooks.live_others = [this] {
+            return live_others;
+        };
         hooks.ask_confirmation = [this](const proxy_id& proxy,
                                         const target_description&) {
             asked.push_back(proxy);
@@ -260,6 +263,7 @@
     fake_target replica_target;
     std::shared_ptr<owned_target> owned;
     bool holds_lease = true;
+    std::optional<std::size_t> live_others;
     term group_term;
     target_id primary;
     target_presence presence = target_presence::present;
