--- a/include/rhubarbrun/coordination/data_path_ids.hpp
+++ b/include/rhubarbrun/coordination/data_path_ids.hpp
@@ -22,6 +22,9 @@
 /// A link to another proxy; a new connection is a new link.
 using link_id = strong_id<struct link_id_tag, std::uint64_t>;
 
+/// Stands for "this process" where a link is expected.
+inline constexpr auto local_link = link_id(~std::uint64_t{0});
+
 /// A caller's session as the owner knows it: session ids are unique only
 /// within one entry proxy, and whatever a session holds at the owner ends with
 /// the link over which it was asked for.
--- /dev/null
+++ b/include/rhubarbrun/coordination/entry_coordinator.hpp
@@ -0,0 +1,272 @@
+#ifndef RHUBARBRUN_COORDINATION_ENTRY_COORDINATOR_HPP
+#define RHUBARBRUN_COORDINATION_ENTRY_COORDINATOR_HPP
+
+#include <rhubarbrun/coordination/entry_actions.hpp>
+#include <rhubarbrun/coordination/group_positions.hpp>
+#include <rhubarbrun/coordination/pending_requests.hpp>
+#include <rhubarbrun/state/directory.hpp>
+#include <rhubarbrun/state/reroute_hint.hpp>
+#include <rhubarbrun/state/session_token.hpp>
+#include <rhubarbrun/state/transaction_status.hpp>
+#include <rhubarbrun/state/transaction_step.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// What the decisions need to know of a caller's request.
+struct entry_request
+{
+    transaction_step step = transaction_step::single;
+    bool is_read_only = false;
+    bool is_idempotent = false;
+    /// Time that the caller gives the request, from its arrival.
+    duration deadline{};
+    /// Accepted age of the data; 0 stands for that of the group's policy.
+    duration max_age{};
+};
+
+/// What the decisions need to know of an owner's reply.
+struct entry_reply
+{
+    request_id id;
+    /// Set if the owner, not the target, ended the request.
+    std::optional<request_error> error;
+    reroute_hint reroute = reroute_hint::none;
+    transaction_status status = transaction_status::idle;
+    std::optional<log_position> position;
+    std::uint32_t load = 0;
+};
+
+/// What the proxy knows when an event happens.
+struct entry_view
+{
+    time_point now;
+    const directory& copy;
+    /// Whether control was heard recently enough to take new work.
+    bool is_ready = false;
+};
+
+/// Counters of the entry role since its start.
+struct entry_counts
+{
+    std::uint64_t requests = 0;
+    std::uint64_t replica_reads = 0;
+    std::uint64_t primary_reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t rerouted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t may_have_run = 0;
+};
+
+/// Sessions and requests at one moment, for dumps and for the drain.
+struct entry_status
+{
+    std::size_t sessions = 0;
+    std::size_t in_transaction = 0;
+    std::size_t in_flight = 0;
+    std::size_t parked = 0;
+    entry_counts counts;
+};
+
+/// Faults that tests plant to show that their checks see them.
+enum class entry_fault : std::uint8_t
+{
+    none,
+    /// Reads ignore the session's floor.
+    skip_floor_check,
+    /// The answer of a replaced primary is passed on.
+    accept_replaced_primary,
+};
+
+/// Settings of an `entry_coordinator`.
+struct entry_coordinator_options
+{
+    proxy_id self;
+    zone_id zone;
+    random_function random;
+    /// The link over which the owner of a target is reached: `local_link` for
+    /// this proxy, no value if the target is not served here or the link is
+    /// not established yet.
+    std::function<std::optional<link_id>(const target_id&, const proxy_id&)>
+        find_link;
+    entry_fault fault = entry_fault::none;
+    pending_fault fault_of_pending = pending_fault::none;
+};
+
+/// Decides where the requests of a proxy's sessions go, when they wait or are
+/// sent again, and with which verdict they end; keeps the sessions' floors.
+///
+/// A request waits ("is parked") while it has no route. It is sent again if an
+/// owner answered that it did not run, or, if it is idempotent, after the link
+/// was lost; always within its deadline and, once it may have run, within the
+/// retry budget. Each request ends with exactly one `answer_action` unless its
+/// session ends first.
+class entry_coordinator
+{
+public:
+    explicit entry_coordinator(entry_coordinator_options options);
+
+    // Events from callers.
+    auto open_session(time_point now, session_id session, group_id group,
+                      session_token token) -> void;
+    /// The session presented a token after its start.
+    auto on_token(session_id session, const session_token& token) -> void;
+    /// Returns the id of the request; no value if the session is not open or
+    /// has a request already.
+    [[nodiscard]] auto on_request(const entry_view& seen, session_id session,
+                                  const entry_request& request,
+                                  entry_actions& todo)
+        -> std::optional<request_id>;
+    [[nodiscard]] auto on_cancel(const entry_view& seen, session_id session)
+        -> entry_actions;
+    [[nodiscard]] auto on_closed(session_id session) -> entry_actions;
+
+    // Events from owners.
+    [[nodiscard]] auto on_reply(const entry_view& seen, link_id link,
+                                const entry_reply& reply) -> entry_actions;
+    auto on_position(const entry_view& seen, request_id question,
+                     const target_position& answer) -> void;
+    [[nodiscard]] auto on_link_down(const entry_view& seen, link_id link)
+        -> entry_actions;
+
+    /// Routes the parked requests whose pause is over; call when a link is up,
+    /// the directory changed or positions arrived.
+    [[nodiscard]] auto retry(const entry_view& seen) -> entry_actions;
+    /// Ends requests whose deadline has passed, then as `retry`; call every
+    /// 10 ms while there are requests.
+    [[nodiscard]] auto tick(const entry_view& seen) -> entry_actions;
+
+    [[nodiscard]] auto status() const -> entry_status;
+    [[nodiscard]] auto request_count() const noexcept -> std::size_t;
+    /// Sessions without a request, by whether a transaction is open.
+    [[nodiscard]] auto idle_sessions(bool is_in_transaction) const
+        -> std::vector<session_id>;
+    [[nodiscard]] auto is_in_transaction(session_id session) const -> bool;
+    [[nodiscard]] auto token(session_id session) const -> session_token;
+
+private:
+    /// Where the transaction of a session is open.
+    struct open_transaction
+    {
+        target_id target;
+        owner_epoch epoch;
+        link_id link;
+    };
+
+    struct running
+    {
+        request_id id;
+        entry_request body;
+        time_point deadline;
+        target_id target;
+        owner_epoch epoch;
+        link_id link;
+        /// A replica refused it, or it may not go to one.
+        bool must_use_primary = false;
+        bool is_at_replica = false;
+        /// It waits for a route.
+        bool is_parked = false;
+        time_point not_before{};
+        /// How often it was parked, for the pause before the next attempt.
+        unsigned parkings = 0;
+        /// Until when a read waits for positions before it uses the primary.
+        time_point position_limit{};
+    };
+
+    struct session_state
+    {
+        group_id group;
+        session_token token;
+        time_point arrived;
+        /// Whether the token covers what the session may have seen before.
+        bool has_floor = false;
+        std::optional<open_transaction> transaction;
+        std::optional<running> request;
+    };
+
+    struct query
+    {
+        group_id group;
+        time_point asked_at;
+    };
+
+    /// Where a request goes next.
+    struct route
+    {
+        enum class result : std::uint8_t
+        {
+            send,
+            park,
+            refuse,
+        };
+        result kind = result::park;
+        target_id target;
+        std::optional<log_position> floor;
+        bool is_replica = false;
+        std::optional<request_error> error;
+    };
+
+    // Routes, in entry_coordinator_routes.cpp.
+    [[nodiscard]] auto choose_route(const entry_view& seen,
+                                    session_state& caller, entry_actions& todo)
+        -> route;
+    [[nodiscard]] static auto route_to_primary(const entry_view& seen,
+                                               const session_state& caller)
+        -> route;
+    [[nodiscard]] auto route_read(const entry_view& seen, session_state& caller,
+                                  entry_actions& todo) -> route;
+    [[nodiscard]] static auto establish_floor(session_state& caller,
+                                              const group_positions& group)
+        -> bool;
+    auto ask_positions(const entry_view& seen, const group_id& id,
+                       group_positions& group, entry_actions& todo) -> void;
+    [[nodiscard]] auto positions_of(const group_id& id) -> group_positions&;
+
+    // Retries and verdicts, in entry_coordinator.cpp.
+    auto dispatch(const entry_view& seen, session_id id, entry_actions& todo)
+        -> void;
+    auto send(const entry_view& seen, session_id id, session_state& caller,
+              const route& where, entry_actions& todo) -> void;
+    auto park(time_point now, session_id id, session_state& caller) -> void;
+    auto park_until(session_id id, session_state& caller, time_point when)
+        -> void;
+    auto retry_parked(const entry_view& seen, entry_actions& todo) -> void;
+    auto reroute(const entry_view& seen, const entry_reply& reply) -> void;
+    auto finish(const entry_view& seen, session_id id, entry_reply reply,
+                entry_actions& todo) -> void;
+    auto finish_with_error(const entry_view& seen, session_id id,
+                           const request_error& error, entry_actions& todo)
+        -> void;
+    auto end(const entry_view& seen, const request_ending& ending,
+             entry_actions& todo) -> void;
+    auto note_answer(time_point now, session_state& caller,
+                     const entry_reply& reply) -> void;
+    auto count_answer(const running& request, const entry_reply& reply) -> void;
+    auto fence_reply(const entry_view& seen, const session_state& caller,
+                     entry_reply& reply) const -> void;
+    static auto end_transaction_at_owner(session_id id, session_state& caller,
+                                         entry_actions& todo) -> void;
+
+    entry_coordinator_options options_;
+    std::unordered_map<session_id, session_state> sessions_;
+    std::map<group_id, group_positions> groups_;
+    std::set<session_id> parked_;
+    std::unordered_map<request_id, session_id> by_request_;
+    pending_requests pending_;
+    std::map<request_id, query> queries_;
+    request_id last_request_;
+    entry_counts counts_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- a/include/rhubarbrun/protocol/execute_messages.hpp
+++ b/include/rhubarbrun/protocol/execute_messages.hpp
@@ -4,7 +4,9 @@
 #include <rhubarbrun/state/ids.hpp>
 #include <rhubarbrun/state/log_position.hpp>
 #include <rhubarbrun/state/request_error.hpp>
+#include <rhubarbrun/state/reroute_hint.hpp>
 #include <rhubarbrun/state/transaction_status.hpp>
+#include <rhubarbrun/state/transaction_step.hpp>
 #include <rhubarbrun/state/work_class.hpp>
 
 #include <cereal/types/optional.hpp>
@@ -50,19 +52,6 @@
     }
 };
 
-/// What a statement does to the transaction of its session.
-enum class transaction_step : std::uint8_t
-{
-    /// Runs on its own, outside a transaction.
-    single,
-    /// BEGIN: takes a connection until the transaction ends.
-    begin,
-    /// Runs within the transaction.
-    within,
-    /// COMMIT or ROLLBACK.
-    end,
-};
-
 /// Entry proxy to owner: run this statement at the target.
 struct execute_request
 {
@@ -101,17 +90,6 @@
     }
 };
 
-/// What the entry proxy may do with a request that did not run.
-enum class reroute_hint : std::uint8_t
-{
-    /// Report it to the caller.
-    none,
-    /// Send it again by the newest directory: this owner does not serve it.
-    try_again,
-    /// Send it to the primary: this replica is behind the floor.
-    use_primary,
-};
-
 /// Owner to entry proxy: the whole answer to one `execute_request`.
 struct execute_reply
 {
--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -1,8 +1,7 @@
 #ifndef RHUBARBRUN_TRANSPORT_ENTRY_ROUTER_HPP
 #define RHUBARBRUN_TRANSPORT_ENTRY_ROUTER_HPP
 
-#include <rhubarbrun/coordination/pending_requests.hpp>
-#include <rhubarbrun/coordination/replica_choice.hpp>
+#include <rhubarbrun/coordination/entry_coordinator.hpp>
 #include <rhubarbrun/protocol/caller_request.hpp>
 #include <rhubarbrun/protocol/execute_messages.hpp>
 #include <rhubarbrun/state/directory.hpp>
@@ -10,13 +9,9 @@
 #include <rhubarbrun/transport/owned_target.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
 
-#include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,30 +52,8 @@
     zone_id zone;
 };
 
-/// Counters of the entry role since its start.
-struct entry_counts
-{
-    std::uint64_t requests = 0;
-    std::uint64_t replica_reads = 0;
-    std::uint64_t primary_reads = 0;
-    std::uint64_t writes = 0;
-    std::uint64_t rerouted = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t may_have_run = 0;
-};
-
-/// Sessions and requests at one moment, for dumps and for the drain.
-struct entry_status
-{
-    std::size_t sessions = 0;
-    std::size_t in_transaction = 0;
-    std::size_t in_flight = 0;
-    std::size_t parked = 0;
-    entry_counts counts;
-};
-
-/// The entry role: routes each request of a session to the owner of a target,
-/// and keeps the session's floors.
+/// The entry role: carries out what `entry_coordinator` decides on the requests
+/// of this proxy's sessions.
 ///
 /// Safe for use from several threads; one lock of rank `sessions` guards the
 /// tables.
@@ -117,138 +90,38 @@
         -> std::vector<session_id>;
 
 private:
-    using action = std::function<void()>;
-    using actions = std::vector<action>;
-
-    /// Where the transaction of a session is open.
-    struct open_transaction
-    {
-        target_id target;
-        owner_epoch epoch;
-        link_id link;
-        bool is_read_only = false;
-    };
-
-    struct running_request
-    {
-        request_id id;
-        caller_request body;
-        time_point deadline;
-        target_id target;
-        owner_epoch epoch;
-        link_id link;
-        /// A replica refused it, or it may not go to one.
-        bool must_use_primary = false;
-        bool is_at_replica = false;
-        /// It waits for a route.
-        bool is_parked = false;
-        time_point not_before{};
-        /// How often it was parked, for the pause before the next attempt.
-        unsigned parkings = 0;
-        /// Until when a read waits for positions before it uses the primary.
-        time_point position_limit{};
-    };
+    using step = std::function<void()>;
+    using steps = std::vector<step>;
 
-    struct session_state
+    /// What the coordinator does not need of a session.
+    struct caller_state
     {
-        group_id group;
         /// Database user and application.
-        std::string caller;
-        session_token token;
-        time_point arrived;
-        /// Whether the token covers what the session may have seen before.
-        bool has_floor = false;
-        std::optional<open_transaction> transaction;
-        std::optional<running_request> running;
-    };
-
-    /// What this entry knows of the servers of one group.
-    struct group_view
-    {
-        explicit group_view(replica_choice_options options)
-            : choice(std::move(options))
-        {
-        }
-
-        replica_choice choice;
-        /// Newest answer of the primary's owner.
-        time_point acknowledged_at{};
-        std::optional<log_position> acknowledged;
-        std::set<target_id> followers;
-        time_point queried_at{};
+        std::string name;
+        /// The request that was not answered yet.
+        caller_request request;
     };
 
-    struct query
-    {
-        group_id group;
-        time_point asked_at;
-    };
-
-    /// Where a request goes next.
-    struct route
-    {
-        enum class result : std::uint8_t
-        {
-            send,
-            park,
-            refuse,
-        };
-        result kind = result::park;
-        target_id target;
-        std::optional<log_position> floor;
-        bool is_replica = false;
-        std::optional<request_error> error;
-    };
-
-    static auto run(const actions& todo) -> void;
-    auto dispatch(session_id id, session_state& caller, actions& todo) -> void;
-    [[nodiscard]] auto choose_route(session_state& caller, actions& todo)
-        -> route;
-    [[nodiscard]] auto route_to_primary(const session_state& caller) const
-        -> route;
-    [[nodiscard]] auto route_read(session_state& caller, actions& todo)
-        -> route;
-    [[nodiscard]] auto establish_floor(session_state& caller, group_view& group)
-        -> bool;
-    auto send(session_id id, session_state& caller, const route& where,
-              actions& todo) -> void;
-    [[nodiscard]] auto make_request(session_id id, const session_state& caller,
-                                    const target_record& target,
-                                    const route& where) const
-        -> execute_request;
-    auto park(session_id id, session_state& caller) -> void;
-    auto park_until(session_id id, session_state& caller, time_point when)
-        -> void;
-    auto retry_parked(actions& todo) -> void;
-    auto finish(session_id id, execute_reply reply, actions& todo) -> void;
-    auto finish_with_error(session_id id, const request_error& error,
-                           actions& todo) -> void;
-    auto note_answer(session_state& caller, const execute_reply& reply) -> void;
-    auto fence_reply(const session_state& caller, execute_reply& reply) const
-        -> void;
-    auto end_transaction_at_owner(session_id id, session_state& caller,
-                                  actions& todo) -> void;
-    auto send_cancel(const target_id& target, link_id link,
-                     const cancel_request& message, actions& todo) -> void;
-    auto refresh(const group_id& id, group_view& group, actions& todo) -> void;
-    [[nodiscard]] auto group_state(const group_id& id) -> group_view&;
+    /// Calls `decide` with the lock held and carries out the actions that it
+    /// returns. `reply` holds the result for the answer to its request.
+    auto handle(const std::function<entry_actions(const entry_view&)>& decide,
+                execute_reply reply = {}) -> void;
+    [[nodiscard]] auto prepare(entry_actions actions, execute_reply& reply)
+        -> steps;
+    [[nodiscard]] auto prepare_send(const send_action& action) -> step;
+    [[nodiscard]] auto prepare_cancel(const cancel_action& action) -> step;
+    [[nodiscard]] auto prepare_query(const query_action& action) -> step;
+    [[nodiscard]] auto prepare_answer(answer_action action,
+                                      execute_reply& reply) -> step;
+    [[nodiscard]] auto make_coordinator_options() -> entry_coordinator_options;
 
     entry_options options_;
     entry_hooks hooks_;
     mutable ranked_mutex mutex_{lock_rank::sessions};
-    std::unordered_map<session_id, session_state> sessions_;
-    std::map<group_id, group_view> groups_;
-    std::set<session_id> parked_;
-    std::unordered_map<request_id, session_id> by_request_;
-    pending_requests pending_;
-    std::map<request_id, query> queries_;
-    request_id last_request_;
-    entry_counts counts_;
+    entry_coordinator coordinator_;
+    std::unordered_map<session_id, caller_state> callers_;
 };
 
-/// Stands for "this process" where a link is expected.
-inline constexpr auto local_link = link_id(~std::uint64_t{0});
-
 } // namespace rhubarbrun::inline v1
 
 #endif
--- /dev/null
+++ b/src/coordination/entry_coordinator.cpp
@@ -0,0 +1,480 @@
+#include "entry_errors.hpp"
+
+#include <rhubarbrun/coordination/entry_coordinator.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+using detail::not_run;
+
+namespace {
+
+/// Pause before a request is routed again after an owner refused it; doubles
+/// with each refusal, as the owner may need some time to become ready.
+constexpr auto first_pause = std::chrono::milliseconds(2);
+constexpr auto most_doublings = 3U;
+
+} // namespace
+
+entry_coordinator::entry_coordinator(entry_coordinator_options options)
+    : options_(std::move(options)), pending_(options_.fault_of_pending)
+{
+}
+
+auto entry_coordinator::open_session(time_point now, session_id session,
+                                     group_id group, session_token token)
+    -> void
+{
+    auto entry = session_state{};
+    entry.arrived = now;
+    entry.has_floor = token.floor(group).has_value();
+    entry.group = std::move(group);
+    entry.token = std::move(token);
+    sessions_.insert_or_assign(session, std::move(entry));
+}
+
+auto entry_coordinator::on_token(session_id session, const session_token& token)
+    -> void
+{
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) {
+        return;
+    }
+    auto& caller = found->second;
+    for (const auto& [group, position] : token.floors()) {
+        caller.token.raise(group, position);
+        caller.has_floor |= group == caller.group;
+    }
+}
+
+auto entry_coordinator::on_request(const entry_view& seen, session_id session,
+                                   const entry_request& request,
+                                   entry_actions& todo)
+    -> std::optional<request_id>
+{
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end() || found->second.request) {
+        return std::nullopt;
+    }
+    ++counts_.requests;
+    last_request_ = last_request_.next();
+    const auto id = last_request_;
+    auto entry = running{};
+    entry.id = id;
+    entry.body = request;
+    entry.deadline = seen.now + request.deadline;
+    auto pending = pending_request{};
+    pending.id = id;
+    pending.session = session;
+    pending.deadline = entry.deadline;
+    // A read outside a transaction may be sent again at no risk.
+    pending.is_idempotent =
+        request.is_idempotent ||
+        (request.is_read_only && request.step == transaction_step::single);
+    static_cast<void>(pending_.add(pending));
+    by_request_[id] = session;
+    found->second.request = std::move(entry);
+    dispatch(seen, session, todo);
+    return id;
+}
+
+auto entry_coordinator::dispatch(const entry_view& seen, session_id id,
+                                 entry_actions& todo) -> void
+{
+    auto& caller = sessions_.at(id);
+    const auto where = choose_route(seen, caller, todo);
+    switch (where.kind) {
+    case route::result::send:
+        send(seen, id, caller, where, todo);
+        break;
+    case route::result::park:
+        park(seen.now, id, caller);
+        break;
+    case route::result::refuse:
+        finish_with_error(seen, id, *where.error, todo);
+        break;
+    }
+}
+
+auto entry_coordinator::send(const entry_view& seen, session_id id,
+                             session_state& caller, const route& where,
+                             entry_actions& todo) -> void
+{
+    const auto* const target = seen.copy.find_target(where.target);
+    auto& request = *caller.request;
+    const auto is_same_owner =
+        !caller.transaction ||
+        (target != nullptr && target->epoch == caller.transaction->epoch);
+    if (!is_same_owner) {
+        caller.transaction.reset();
+        finish_with_error(seen, id,
+                          not_run(sqlstate::transaction_rollback,
+                                  "the transaction was lost and rolled back"),
+                          todo);
+        return;
+    }
+    if (target == nullptr || !target->owner) {
+        park(seen.now, id, caller);
+        return;
+    }
+    const auto& owner = target->owner->id;
+    // The owner ties a transaction to the link that opened it.
+    const auto keeps_link = caller.transaction && owner != options_.self;
+    const auto link = keeps_link ? std::optional(caller.transaction->link)
+                                 : options_.find_link(where.target, owner);
+    if (!link || pending_.try_send(seen.now, request.id, *link) !=
+                     send_permission::granted)
+    {
+        // Without a link, past its deadline or out of retries; `tick` ends it
+        // at its deadline.
+        park(seen.now, id, caller);
+        return;
+    }
+    request.is_parked = false;
+    parked_.erase(id);
+    request.target = where.target;
+    request.epoch = target->epoch;
+    request.link = *link;
+    request.is_at_replica = where.is_replica;
+    auto action = send_action{};
+    action.session = id;
+    action.id = request.id;
+    action.target = where.target;
+    action.epoch = target->epoch;
+    const auto* const group = seen.copy.find_group(caller.group);
+    if (group != nullptr && group->primary) {
+        action.group_term = group->primary->group_term;
+    }
+    action.owner = owner;
+    action.link = *link;
+    action.floor = where.floor;
+    action.time_left = request.deadline - seen.now;
+    todo.emplace_back(std::move(action));
+}
+
+auto entry_coordinator::park(time_point now, session_id id,
+                             session_state& caller) -> void
+{
+    const auto doublings = std::min(caller.request->parkings++, most_doublings);
+    park_until(id, caller, now + first_pause * (1U << doublings));
+}
+
+auto entry_coordinator::park_until(session_id id, session_state& caller,
+                                   time_point when) -> void
+{
+    caller.request->is_parked = true;
+    caller.request->not_before = when;
+    parked_.insert(id);
+}
+
+auto entry_coordinator::retry_parked(const entry_view& seen,
+                                     entry_actions& todo) -> void
+{
+    auto due = std::vector<session_id>{};
+    for (const auto id : parked_) {
+        if (seen.now >= sessions_.at(id).request->not_before) {
+            due.push_back(id);
+        }
+    }
+    for (const auto id : due) {
+        parked_.erase(id);
+        sessions_.at(id).request->is_parked = false;
+        dispatch(seen, id, todo);
+    }
+}
+
+auto entry_coordinator::on_reply(const entry_view& seen, link_id link,
+                                 const entry_reply& reply) -> entry_actions
+{
+    auto todo = entry_actions{};
+    const auto is_not_run =
+        reply.error && reply.error->outcome == verdict::not_run;
+    if (is_not_run) {
+        if (!pending_.on_not_run(reply.id, link)) {
+            return todo;
+        }
+        if (reply.reroute != reroute_hint::none) {
+            reroute(seen, reply);
+            retry_parked(seen, todo);
+        } else if (const auto ending = pending_.give_up(reply.id, *reply.error))
+        {
+            // A refused retry does not take back that an earlier attempt may
+            // have run, so the verdict comes from the record.
+            auto refused = reply;
+            refused.error = ending->error;
+            finish(seen, ending->session, std::move(refused), todo);
+        }
+    } else if (const auto id = pending_.on_answer(reply.id, link)) {
+        finish(seen, *id, reply, todo);
+    }
+    return todo;
+}
+
+/// Parks a request that an owner refused but another target may serve.
+auto entry_coordinator::reroute(const entry_view& seen,
+                                const entry_reply& reply) -> void
+{
+    const auto id = by_request_.at(reply.id);
+    auto& caller = sessions_.at(id);
+    auto& request = *caller.request;
+    ++counts_.rerouted;
+    if (request.is_at_replica) {
+        positions_of(caller.group).choice().on_failed(request.target);
+    }
+    if (reply.reroute == reroute_hint::use_primary) {
+        request.must_use_primary = true;
+        park_until(id, caller, seen.now);
+    } else {
+        park(seen.now, id, caller);
+    }
+}
+
+/// A write whose term has ended must not be acknowledged.
+auto entry_coordinator::fence_reply(const entry_view& seen,
+                                    const session_state& caller,
+                                    entry_reply& reply) const -> void
+{
+    const auto is_write = !caller.request->body.is_read_only;
+    if (!is_write || reply.error || !reply.position ||
+        options_.fault == entry_fault::accept_replaced_primary)
+    {
+        return;
+    }
+    const auto* const group = seen.copy.find_group(caller.group);
+    const auto is_replaced =
+        group != nullptr && group->primary &&
+        group->primary->group_term > reply.position->group_term;
+    if (is_replaced) {
+        reply.error =
+            request_error{verdict::may_have_run,
+                          std::string(sqlstate::transaction_resolution_unknown),
+                          "the primary was replaced before its answer arrived",
+                          {}};
+    }
+}
+
+auto entry_coordinator::finish(const entry_view& seen, session_id id,
+                               entry_reply reply, entry_actions& todo) -> void
+{
+    auto& caller = sessions_.at(id);
+    fence_reply(seen, caller, reply);
+    note_answer(seen.now, caller, reply);
+    if (reply.error && caller.transaction) {
+        end_transaction_at_owner(id, caller, todo);
+    }
+    const auto request = *std::exchange(caller.request, {});
+    auto answer = answer_action{};
+    answer.session = id;
+    answer.id = request.id;
+    answer.is_at_replica = request.is_at_replica;
+    if (reply.position && !reply.error && !request.body.is_read_only) {
+        caller.token.raise(caller.group, *reply.position);
+        caller.has_floor = true;
+        answer.token = to_string(caller.token);
+    }
+    answer.error = std::move(reply.error);
+    by_request_.erase(request.id);
+    parked_.erase(id);
+    todo.emplace_back(std::move(answer));
+}
+
+auto entry_coordinator::note_answer(time_point now, session_state& caller,
+                                    const entry_reply& reply) -> void
+{
+    const auto& request = *caller.request;
+    count_answer(request, reply);
+    if (!reply.error) {
+        caller.transaction.reset();
+        if (reply.status != transaction_status::idle) {
+            caller.transaction =
+                open_transaction{request.target, request.epoch, request.link};
+        }
+    }
+    if (!request.is_at_replica) {
+        return;
+    }
+    auto& choice = positions_of(caller.group).choice();
+    if (reply.error) {
+        choice.on_failed(request.target);
+        return;
+    }
+    choice.on_answered(request.target, reply.load);
+    if (reply.position) {
+        choice.on_replayed(now, request.target, *reply.position);
+    }
+}
+
+auto entry_coordinator::count_answer(const running& request,
+                                     const entry_reply& reply) -> void
+{
+    if (reply.error) {
+        const auto is_unknown = reply.error->outcome == verdict::may_have_run;
+        ++(is_unknown ? counts_.may_have_run : counts_.refused);
+    } else if (!request.body.is_read_only) {
+        ++counts_.writes;
+    } else {
+        ++(request.is_at_replica ? counts_.replica_reads
+                                 : counts_.primary_reads);
+    }
+}
+
+auto entry_coordinator::finish_with_error(const entry_view& seen, session_id id,
+                                          const request_error& error,
+                                          entry_actions& todo) -> void
+{
+    auto reply = entry_reply{};
+    reply.id = sessions_.at(id).request->id;
+    // The record knows whether an earlier attempt may have run.
+    const auto ending = pending_.give_up(reply.id, error);
+    reply.error = ending ? ending->error : error;
+    finish(seen, id, std::move(reply), todo);
+}
+
+auto entry_coordinator::end(const entry_view& seen,
+                            const request_ending& ending, entry_actions& todo)
+    -> void
+{
+    auto reply = entry_reply{};
+    reply.id = ending.id;
+    reply.error = ending.error;
+    finish(seen, ending.session, std::move(reply), todo);
+}
+
+auto entry_coordinator::end_transaction_at_owner(session_id id,
+                                                 session_state& caller,
+                                                 entry_actions& todo) -> void
+{
+    const auto open = *std::exchange(caller.transaction, {});
+    todo.emplace_back(cancel_action{id, request_id(0), open.target, open.link});
+}
+
+auto entry_coordinator::on_cancel(const entry_view& seen, session_id session)
+    -> entry_actions
+{
+    auto todo = entry_actions{};
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end() || !found->second.request) {
+        return todo;
+    }
+    const auto& request = *found->second.request;
+    if (request.is_parked) {
+        finish_with_error(
+            seen, session,
+            not_run(sqlstate::query_canceled, "cancelled by the caller"), todo);
+    } else {
+        todo.emplace_back(
+            cancel_action{session, request.id, request.target, request.link});
+    }
+    return todo;
+}
+
+auto entry_coordinator::on_closed(session_id session) -> entry_actions
+{
+    auto todo = entry_actions{};
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) {
+        return todo;
+    }
+    auto& caller = found->second;
+    if (caller.transaction) {
+        end_transaction_at_owner(session, caller, todo);
+    } else if (caller.request && !caller.request->is_parked) {
+        todo.emplace_back(cancel_action{session, request_id(0),
+                                        caller.request->target,
+                                        caller.request->link});
+    }
+    static_cast<void>(pending_.on_session_closed(session));
+    if (caller.request) {
+        by_request_.erase(caller.request->id);
+    }
+    parked_.erase(session);
+    sessions_.erase(found);
+    return todo;
+}
+
+auto entry_coordinator::on_link_down(const entry_view& seen, link_id link)
+    -> entry_actions
+{
+    auto todo = entry_actions{};
+    // The owner ends the transactions of a lost link by itself.
+    for (auto& [id, caller] : sessions_) {
+        if (caller.transaction && caller.transaction->link == link) {
+            caller.transaction.reset();
+        }
+    }
+    const auto loss = pending_.on_link_lost(seen.now, link);
+    for (const auto request : loss.retries) {
+        const auto id = by_request_.at(request);
+        park_until(id, sessions_.at(id), seen.now);
+    }
+    for (const auto& ending : loss.endings) {
+        end(seen, ending, todo);
+    }
+    retry_parked(seen, todo);
+    return todo;
+}
+
+auto entry_coordinator::retry(const entry_view& seen) -> entry_actions
+{
+    auto todo = entry_actions{};
+    retry_parked(seen, todo);
+    return todo;
+}
+
+auto entry_coordinator::tick(const entry_view& seen) -> entry_actions
+{
+    auto todo = entry_actions{};
+    for (const auto& ending : pending_.expire(seen.now)) {
+        end(seen, ending, todo);
+    }
+    retry_parked(seen, todo);
+    return todo;
+}
+
+auto entry_coordinator::status() const -> entry_status
+{
+    auto result = entry_status{};
+    result.sessions = sessions_.size();
+    result.in_flight = pending_.size();
+    result.parked = parked_.size();
+    result.counts = counts_;
+    for (const auto& [id, caller] : sessions_) {
+        result.in_transaction += caller.transaction ? 1U : 0U;
+    }
+    return result;
+}
+
+auto entry_coordinator::request_count() const noexcept -> std::size_t
+{
+    return pending_.size();
+}
+
+auto entry_coordinator::idle_sessions(bool is_in_transaction) const
+    -> std::vector<session_id>
+{
+    auto result = std::vector<session_id>{};
+    for (const auto& [id, caller] : sessions_) {
+        if (!caller.request &&
+            caller.transaction.has_value() == is_in_transaction) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+auto entry_coordinator::is_in_transaction(session_id session) const -> bool
+{
+    const auto found = sessions_.find(session);
+    return found != sessions_.end() && found->second.transaction.has_value();
+}
+
+auto entry_coordinator::token(session_id session) const -> session_token
+{
+    const auto found = sessions_.find(session);
+    return found == sessions_.end() ? session_token{} : found->second.token;
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/entry_coordinator_routes.cpp
@@ -0,0 +1,184 @@
+#include "entry_errors.hpp"
+
+#include <rhubarbrun/coordination/entry_coordinator.hpp>
+
+#include <utility>
+
+// The part of entry_coordinator that chooses where a request goes, from what
+// is known of the servers of its group.
+
+namespace rhubarbrun::inline v1 {
+
+using detail::not_run;
+
+namespace {
+
+/// Questions remembered; the answers to older ones are ignored.
+constexpr auto most_queries = std::size_t{4096};
+
+} // namespace
+
+auto entry_coordinator::choose_route(const entry_view& seen,
+                                     session_state& caller, entry_actions& todo)
+    -> route
+{
+    const auto& request = caller.request->body;
+    auto where = route{};
+    if (caller.transaction) {
+        where.kind = route::result::send;
+        where.target = caller.transaction->target;
+        return where;
+    }
+    const auto is_orphan = request.step == transaction_step::within ||
+                           request.step == transaction_step::end;
+    if (is_orphan) {
+        where.kind = route::result::refuse;
+        where.error = not_run(sqlstate::transaction_rollback,
+                              "the transaction was lost and rolled back");
+        return where;
+    }
+    if (!seen.is_ready) {
+        where.kind = route::result::refuse;
+        where.error = not_run(sqlstate::cannot_connect_now,
+                              "this proxy has no contact with control",
+                              std::chrono::seconds(1));
+        return where;
+    }
+    const auto is_replica_read =
+        request.is_read_only && !caller.request->must_use_primary;
+    return is_replica_read ? route_read(seen, caller, todo)
+                           : route_to_primary(seen, caller);
+}
+
+auto entry_coordinator::route_to_primary(const entry_view& seen,
+                                         const session_state& caller) -> route
+{
+    auto where = route{};
+    const auto* const group = seen.copy.find_group(caller.group);
+    if (group == nullptr) {
+        where.kind = route::result::refuse;
+        where.error = not_run(sqlstate::invalid_catalog_name,
+                              "the database is no longer in the bundle");
+        return where;
+    }
+    if (group->primary) {
+        where.kind = route::result::send;
+        where.target = group->primary->target;
+        // An owner that does not know the floor's term yet must not answer.
+        where.floor = caller.token.floor(caller.group);
+    }
+    return where;
+}
+
+auto entry_coordinator::establish_floor(session_state& caller,
+                                        const group_positions& group) -> bool
+{
+    if (caller.has_floor) {
+        return true;
+    }
+    const auto position = group.acknowledged_since(caller.arrived);
+    if (!position) {
+        return false;
+    }
+    caller.token.raise(caller.group, *position);
+    caller.has_floor = true;
+    return true;
+}
+
+auto entry_coordinator::route_read(const entry_view& seen,
+                                   session_state& caller, entry_actions& todo)
+    -> route
+{
+    auto& request = *caller.request;
+    const auto* const config = seen.copy.find_group(caller.group);
+    if (config == nullptr || !config->primary) {
+        return route_to_primary(seen, caller);
+    }
+    auto& group = positions_of(caller.group);
+    const auto& policy = config->config.reads;
+    if (request.position_limit == time_point{}) {
+        request.position_limit =
+            seen.now + std::chrono::milliseconds(policy.fallback_wait_ms);
+    }
+    const auto has_floor = establish_floor(caller, group);
+    const auto ignores_floor = options_.fault == entry_fault::skip_floor_check;
+    auto requirements = read_requirements{};
+    if (!ignores_floor) {
+        requirements.floor = caller.token.floor(caller.group);
+    }
+    requirements.max_age = request.body.max_age != duration::zero()
+                               ? request.body.max_age
+                               : std::chrono::milliseconds(policy.max_age_ms);
+    requirements.deadline = request.deadline;
+    const auto floor = group.choice().required_position(seen.now, requirements);
+    auto where = route{};
+    if (!has_floor || !floor) {
+        if (seen.now >= request.position_limit) {
+            return route_to_primary(seen, caller);
+        }
+        ask_positions(seen, caller.group, group, todo);
+        return where;
+    }
+    requirements.floor = ignores_floor ? std::nullopt : floor;
+    requirements.max_age = duration::zero();
+    const auto chosen = group.choice().choose(seen.now, requirements);
+    if (chosen.kind == read_target::primary) {
+        return route_to_primary(seen, caller);
+    }
+    where.kind = route::result::send;
+    where.target = *chosen.target;
+    where.floor = floor;
+    where.is_replica = true;
+    return where;
+}
+
+auto entry_coordinator::positions_of(const group_id& id) -> group_positions&
+{
+    const auto found = groups_.find(id);
+    if (found != groups_.end()) {
+        return found->second;
+    }
+    auto options = replica_choice_options{};
+    options.random = options_.random;
+    return groups_.emplace(id, group_positions(std::move(options)))
+        .first->second;
+}
+
+auto entry_coordinator::ask_positions(const entry_view& seen,
+                                      const group_id& id,
+                                      group_positions& group,
+                                      entry_actions& todo) -> void
+{
+    if (!group.take_query_turn(seen.now)) {
+        return;
+    }
+    for (const auto& target : seen.copy.targets_of(id)) {
+        const auto* const record = seen.copy.find_target(target);
+        if (record == nullptr || !record->owner) {
+            continue;
+        }
+        last_request_ = last_request_.next();
+        queries_[last_request_] = {id, seen.now};
+        todo.emplace_back(
+            query_action{last_request_, target, record->owner->id});
+    }
+    // Answers that never came are forgotten with the oldest questions.
+    while (queries_.size() > most_queries) {
+        queries_.erase(queries_.begin());
+    }
+}
+
+auto entry_coordinator::on_position(const entry_view& seen, request_id question,
+                                    const target_position& answer) -> void
+{
+    const auto found = queries_.find(question);
+    if (found == queries_.end()) {
+        return;
+    }
+    const auto [group, asked_at] = found->second;
+    queries_.erase(found);
+    positions_of(group).on_answer(seen.now, asked_at, seen.copy, options_.zone,
+                                  answer);
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/group_positions.cpp
@@ -0,0 +1,70 @@
+#include <rhubarbrun/coordination/group_positions.hpp>
+
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Positions of one group are asked for at most this often.
+constexpr auto least_query_interval = std::chrono::milliseconds(20);
+
+} // namespace
+
+group_positions::group_positions(replica_choice_options options)
+    : choice_(std::move(options))
+{
+}
+
+auto group_positions::take_query_turn(time_point now) -> bool
+{
+    if (now - queried_at_ < least_query_interval) {
+        return false;
+    }
+    queried_at_ = now;
+    return true;
+}
+
+auto group_positions::on_answer(time_point now, time_point asked_at,
+                                const directory& view, const zone_id& zone,
+                                const target_position& answer) -> void
+{
+    const auto* const record = view.find_target(answer.target);
+    if (record == nullptr || !answer.position) {
+        return;
+    }
+    // The owner read the positions `age` before it answered, hence at most
+    // that long before the question was asked.
+    const auto read_at = asked_at - answer.age;
+    if (answer.log_end) {
+        acknowledged_ = answer.position;
+        acknowledged_at_ = asked_at;
+        followers_ = answer.followers;
+        choice_.on_primary_position(read_at, *answer.log_end);
+        for (const auto& target : view.targets_of(record->description.group)) {
+            if (!followers_.contains(target)) {
+                choice_.on_removed(target);
+            }
+        }
+    } else if (followers_.contains(answer.target)) {
+        auto report = replica_report{};
+        report.target = answer.target;
+        report.zone = record->description.zone;
+        const auto is_near = report.zone == zone;
+        report.distance = is_near ? std::chrono::milliseconds(0)
+                                  : std::chrono::milliseconds(1);
+        report.slots = record->description.slots;
+        report.replayed = *answer.position;
+        report.replayed_at = read_at;
+        report.load = answer.load;
+        choice_.on_report(now, std::move(report));
+    }
+}
+
+auto group_positions::acknowledged_since(time_point since) const
+    -> std::optional<log_position>
+{
+    return acknowledged_at_ >= since ? acknowledged_ : std::nullopt;
+}
+
+} // namespace rhubarbrun::inline v1
--- a/tests/coordination/scenario_checks.cpp
+++ b/tests/coordination/scenario_checks.cpp
@@ -23,9 +23,9 @@
     who.is_in_transaction = false;
     who.in_transaction.clear();
     auto& proxy = *proxies_.at(who.proxy);
-    who.is_open =
-        network_.is_alive(who.proxy) && !network_.is_frozen(who.proxy) &&
-        proxy.open_session(who.session, who.name, who.group, who.token);
+    who.is_open = network_.is_alive(who.proxy) &&
+                  !network_.is_frozen(who.proxy) &&
+                  proxy.open_session(who.session, who.group, who.token);
 }
 
 auto scenario_runner::close(caller& who) -> void
@@ -240,7 +240,7 @@
     item->proxy = ready[network_.random() % ready.size()];
     item->session = session_id(++last_session_);
     auto& proxy = *proxies_.at(item->proxy);
-    if (!proxy.open_session(item->session, item->order, item->group, "")) {
+    if (!proxy.open_session(item->session, item->group, "")) {
         again();
         return;
     }
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -525,9 +525,9 @@
            prepared_term_ == group_.primary->group_term;
 }
 
-auto scenario_owner::query() -> scenario_position
+auto scenario_owner::query() -> target_position
 {
-    auto answer = scenario_position{};
+    auto answer = target_position{};
     answer.target = id_;
     answer.load = queue_.load();
     if (!may_serve() || !state_ || !group_.primary) {
--- a/tests/coordination/scenario_owner.hpp
+++ b/tests/coordination/scenario_owner.hpp
@@ -6,11 +6,13 @@
 #include <rhubarbrun/coordination/admission.hpp>
 #include <rhubarbrun/coordination/failover.hpp>
 #include <rhubarbrun/coordination/failure_detector.hpp>
+#include <rhubarbrun/coordination/group_positions.hpp>
 #include <rhubarbrun/coordination/silence_detector.hpp>
 #include <rhubarbrun/coordination/transaction_pins.hpp>
 #include <rhubarbrun/coordination/write_acknowledger.hpp>
 #include <rhubarbrun/state/control_command.hpp>
 #include <rhubarbrun/state/directory.hpp>
+#include <rhubarbrun/state/reroute_hint.hpp>
 
 #include <memory>
 
@@ -64,34 +66,16 @@
     std::optional<log_position> floor;
 };
 
-enum class scenario_reroute : std::uint8_t
-{
-    none,
-    try_again,
-    use_primary,
-};
-
 struct scenario_reply
 {
     request_id id;
     std::optional<request_error> error;
-    scenario_reroute reroute = scenario_reroute::none;
+    reroute_hint reroute = reroute_hint::none;
     server_answer answer;
     std::optional<log_position> position;
     std::uint32_t load = 0;
 };
 
-/// Answer to a position query.
-struct scenario_position
-{
-    target_id target;
-    std::optional<log_position> position;
-    std::optional<log_position> log_end;
-    std::set<target_id> followers;
-    duration age{};
-    std::uint32_t load = 0;
-};
-
 struct scenario_owner_hooks
 {
     std::function<bool()> holds_lease;
@@ -122,7 +106,7 @@
     auto on_directory() -> void;
     auto on_confirmation(const proxy_id& proxy, bool is_reachable) -> void;
     auto on_proposal_answered(bool is_accepted) -> void;
-    [[nodiscard]] auto query() -> scenario_position;
+    [[nodiscard]] auto query() -> target_position;
     auto stop() -> void;
 
     [[nodiscard]] auto epoch() const -> owner_epoch { return record_.epoch; }
@@ -200,7 +184,7 @@
     auto refuse_waiting() -> void;
     auto finish(admission_ticket ticket, scenario_reply reply) -> void;
     auto fail(admission_ticket ticket, verdict outcome, std::string_view code,
-              scenario_reroute reroute = scenario_reroute::none) -> void;
+              reroute_hint reroute = reroute_hint::none) -> void;
     auto drop(connection_id connection) -> void;
     auto release(const released_connection& released) -> void;
     [[nodiscard]] auto take_connection() -> connection_id;
--- a/tests/coordination/scenario_owner_jobs.cpp
+++ b/tests/coordination/scenario_owner_jobs.cpp
@@ -14,7 +14,7 @@
 /// Time beyond the deadline after which a connection counts as silent.
 constexpr auto answer_grace = duration(200ms);
 
-auto refused(std::string_view code, scenario_reroute reroute) -> scenario_reply
+auto refused(std::string_view code, reroute_hint reroute) -> scenario_reply
 {
     auto reply = scenario_reply{};
     reply.error = request_error{verdict::not_run, std::string(code), {}, {}};
@@ -62,12 +62,11 @@
     -> std::optional<scenario_reply>
 {
     const auto elsewhere =
-        refused(sqlstate::cannot_connect_now, scenario_reroute::try_again);
+        refused(sqlstate::cannot_connect_now, reroute_hint::try_again);
     const auto is_this = request.epoch == record_.epoch && is_own_assignment();
     if (request.is_in_transaction) {
         if (!is_this || !may_serve() || !pins_.find(session)) {
-            return refused(sqlstate::transaction_rollback,
-                           scenario_reroute::none);
+            return refused(sqlstate::transaction_rollback, reroute_hint::none);
         }
         return std::nullopt;
     }
@@ -92,8 +91,7 @@
         return elsewhere;
     }
     if (!state_ || !state_->is_in_recovery) {
-        return refused(sqlstate::cannot_connect_now,
-                       scenario_reroute::use_primary);
+        return refused(sqlstate::cannot_connect_now, reroute_hint::use_primary);
     }
     return std::nullopt;
 }
@@ -130,8 +128,8 @@
     }
     for (auto& item : queue_.expire(now())) {
         const auto reroute = may_serve() && !handover_since_
-                                 ? scenario_reroute::none
-                                 : scenario_reroute::try_again;
+                                 ? reroute_hint::none
+                                 : reroute_hint::try_again;
         fail(item.ticket, item.error.outcome, item.error.code, reroute);
     }
 }
@@ -178,7 +176,7 @@
             }
         }
         fail(ticket, verdict::not_run, sqlstate::cannot_connect_now,
-             work.pin ? scenario_reroute::none : scenario_reroute::try_again);
+             work.pin ? reroute_hint::none : reroute_hint::try_again);
         return;
     }
     if (!connection) {
@@ -220,7 +218,7 @@
              how == loss::refused ? verdict::not_run : verdict::may_have_run,
              how == loss::refused ? sqlstate::cannot_connect_now
                                   : sqlstate::transaction_resolution_unknown,
-             is_retry ? scenario_reroute::try_again : scenario_reroute::none);
+             is_retry ? reroute_hint::try_again : reroute_hint::none);
         pump();
         return;
     }
@@ -318,7 +316,7 @@
             admit(std::move(ready));
         } else if (now() >= work.position_limit) {
             fail(ticket, verdict::not_run, sqlstate::cannot_connect_now,
-                 scenario_reroute::use_primary);
+                 reroute_hint::use_primary);
         } else if (!is_probing_) {
             probe(false);
         }
@@ -338,7 +336,7 @@
         {verdict::not_run, std::string(sqlstate::cannot_connect_now), {}, {}});
     for (auto& item : queue_.expire(now())) {
         fail(item.ticket, item.error.outcome, item.error.code,
-             scenario_reroute::try_again);
+             reroute_hint::try_again);
     }
     auto waiting = std::vector<admission_ticket>{};
     for (const auto& [ticket, work] : jobs_) {
@@ -348,7 +346,7 @@
     }
     for (const auto ticket : waiting) {
         fail(ticket, verdict::not_run, sqlstate::cannot_connect_now,
-             scenario_reroute::try_again);
+             reroute_hint::try_again);
     }
 }
 
@@ -367,8 +365,7 @@
 }
 
 auto scenario_owner::fail(admission_ticket ticket, verdict outcome,
-                          std::string_view code, scenario_reroute reroute)
-    -> void
+                          std::string_view code, reroute_hint reroute) -> void
 {
     auto reply = refused(code, reroute);
     reply.error->outcome = outcome;
--- a/tests/coordination/scenario_proxy.hpp
+++ b/tests/coordination/scenario_proxy.hpp
@@ -5,9 +5,8 @@
 #include "scenario_owner.hpp"
 
 #include <rhubarbrun/coordination/drain.hpp>
+#include <rhubarbrun/coordination/entry_coordinator.hpp>
 #include <rhubarbrun/coordination/lease_holder.hpp>
-#include <rhubarbrun/coordination/pending_requests.hpp>
-#include <rhubarbrun/coordination/replica_choice.hpp>
 #include <rhubarbrun/coordination/target_announcements.hpp>
 #include <rhubarbrun/state/session_token.hpp>
 
@@ -18,7 +17,7 @@
 
 // Stands in for a proxy process: transport's control_client, entry_router and
 // proxy_node, with the same decisions around the real lease holder, directory,
-// pending requests, replica choice, announcements and drain.
+// entry coordinator, announcements and drain.
 
 namespace rhubarbrun::tests {
 
@@ -71,8 +70,8 @@
     auto tick() -> void;
 
     // Callers.
-    auto open_session(session_id session, const std::string& name,
-                      const group_id& group, const std::string& token) -> bool;
+    auto open_session(session_id session, const group_id& group,
+                      const std::string& token) -> bool;
     auto close_session(session_id session) -> void;
     auto request(session_id session, const caller_statement& statement,
                  caller_function answer) -> void;
@@ -96,64 +95,17 @@
     [[nodiscard]] auto work_in_flight() const -> std::size_t;
 
 private:
-    struct open_transaction
+    /// What the coordinator does not need of a session.
+    struct caller_state
     {
-        target_id target;
-        owner_epoch epoch;
-        link_id link;
-    };
-    struct running_request
-    {
-        request_id id;
         caller_statement statement;
+        transaction_step step = transaction_step::single;
+        /// Set while a request is not answered.
         caller_function answer;
-        time_point deadline;
-        bool is_parked = false;
-        time_point not_before{};
-        unsigned parkings = 0;
-        time_point position_limit{};
-        bool must_use_primary = false;
-        bool is_at_replica = false;
-        target_id target;
-        owner_epoch epoch;
+        request_id request;
+        /// Where the request was last sent.
         link_id link;
     };
-    struct session_state
-    {
-        std::string name;
-        group_id group;
-        session_token token;
-        bool has_floor = false;
-        time_point arrived;
-        std::optional<open_transaction> transaction;
-        std::optional<running_request> running;
-    };
-    struct group_view
-    {
-        explicit group_view(replica_choice_options options)
-            : choice(std::move(options))
-        {
-        }
-        replica_choice choice;
-        std::optional<log_position> acknowledged;
-        time_point acknowledged_at{};
-        std::set<target_id> followers;
-        time_point queried_at{};
-    };
-    struct route
-    {
-        enum class result : std::uint8_t
-        {
-            park,
-            send,
-            refuse,
-        };
-        result kind = result::park;
-        target_id target;
-        std::optional<log_position> floor;
-        bool is_replica = false;
-        std::string code;
-    };
     struct peer_link
     {
         connection_number connection = 0;
@@ -185,25 +137,19 @@
     auto on_peer_link_lost(link_id link) -> void;
 
     // Entry, in scenario_proxy_entry.cpp.
-    auto dispatch(session_id id) -> void;
-    auto choose_route(session_state& caller) -> route;
-    auto route_to_primary(const session_state& caller) const -> route;
-    auto route_read(session_state& caller) -> route;
-    auto send(session_id id, session_state& caller, const route& where) -> void;
-    auto park_until(session_id id, session_state& caller, time_point when)
+    auto make_coordinator() -> void;
+    [[nodiscard]] auto seen() const -> entry_view;
+    auto carry_out(const entry_actions& actions,
+                   const scenario_reply& reply = {}) -> void;
+    auto carry_out(const send_action& action) -> void;
+    auto carry_out(const cancel_action& action) -> void;
+    auto carry_out(const query_action& action) -> void;
+    auto carry_out(const answer_action& action, const scenario_reply& reply)
         -> void;
-    auto park(session_id id, session_state& caller) -> void;
-    auto retry_parked() -> void;
+    auto execute(const scenario_request& request, link_id link,
+                 scenario_owner::reply_function reply) -> void;
     auto on_reply(link_id link, const scenario_reply& reply) -> void;
-    auto finish(session_id id, scenario_reply reply) -> void;
-    auto finish_with_error(session_id id, std::string_view code) -> void;
-    auto refresh(const group_id& id, group_view& group) -> void;
-    auto on_position(const group_id& id, time_point asked_at,
-                     const scenario_position& answer) -> void;
-    auto group_state(const group_id& id) -> group_view&;
-    auto end_at_owner(session_id id, const target_id& target, link_id link)
-        -> void;
-    auto tick_entry() -> void;
+    auto on_position(request_id query, const target_position& answer) -> void;
     [[nodiscard]] auto now() const -> time_point { return network_->now(); }
 
     scenario_network* network_;
@@ -232,11 +178,8 @@
     drain_orders orders_;
     bool is_draining_ = false;
 
-    std::map<session_id, session_state> sessions_;
-    std::map<request_id, session_id> by_request_;
-    std::unique_ptr<pending_requests> pending_;
-    std::map<group_id, group_view> groups_;
-    request_id last_request_;
+    std::unique_ptr<entry_coordinator> entry_;
+    std::map<session_id, caller_state> callers_;
     std::size_t executing_ = 0;
     /// Sessions of ended requests, for `scenario_fault::accept_late_answer`.
     std::map<request_id, session_id> ended_;
--- a/tests/coordination/scenario_proxy_control.cpp
+++ b/tests/coordination/scenario_proxy_control.cpp
@@ -23,20 +23,6 @@
     return std::chrono::milliseconds(count);
 }
 
-auto pending_fault_of(scenario_fault fault) -> pending_fault
-{
-    switch (fault) {
-    case scenario_fault::accept_late_answer:
-        return pending_fault::accept_late_answer;
-    case scenario_fault::claim_not_run:
-        return pending_fault::claim_not_run;
-    case scenario_fault::resend_non_idempotent:
-        return pending_fault::resend_non_idempotent;
-    default:
-        return pending_fault::none;
-    }
-}
-
 } // namespace
 
 scenario_proxy::scenario_proxy(scenario_network& network, std::string name,
@@ -50,6 +36,7 @@
       hooks_(std::move(hooks)),
       fault_(fault)
 {
+    make_coordinator();
 }
 
 auto scenario_proxy::start() -> void
@@ -64,7 +51,6 @@
     drain_ = rhubarbrun::drain{};
     orders_ = drain_orders{};
     is_draining_ = false;
-    pending_ = std::make_unique<pending_requests>(pending_fault_of(fault_));
     choose_member(network_->random() % members_.size());
 }
 
@@ -75,9 +61,7 @@
         target->stop();
     }
     owned_.clear();
-    sessions_.clear();
-    by_request_.clear();
-    groups_.clear();
+    make_coordinator();
     executing_ = 0;
 }
 
@@ -89,7 +73,7 @@
     for (const auto& [id, target] : std::map(owned_)) {
         target->tick();
     }
-    tick_entry();
+    carry_out(entry_->tick(seen()));
     if (is_draining_) {
         step_drain();
     }
@@ -256,7 +240,7 @@
         hooks_.on_bundle(name_, copy_.bundle()->version);
         update_targets();
     }
-    retry_parked();
+    carry_out(entry_->retry(seen()));
 }
 
 auto scenario_proxy::update_targets() -> void
@@ -420,10 +404,7 @@
 
 auto scenario_proxy::work_in_flight() const -> std::size_t
 {
-    auto count = std::size_t{0};
-    for (const auto& [id, caller] : sessions_) {
-        count += caller.running ? 1U : 0U;
-    }
+    auto count = entry_->request_count();
     for (const auto& [id, target] : owned_) {
         count += target->job_count();
     }
@@ -432,23 +413,20 @@
 
 auto scenario_proxy::step_drain() -> void
 {
-    auto seen = drain_view{};
-    seen.targets = owned_.size();
-    seen.requests_in_flight = pending_->size() + executing_;
-    seen.sessions = sessions_.size();
-    for (const auto& [id, caller] : sessions_) {
-        seen.sessions_in_transaction += caller.transaction ? 1U : 0U;
-    }
-    orders_ = drain_.step(now(), seen);
+    auto view = drain_view{};
+    view.targets = owned_.size();
+    const auto entry = entry_->status();
+    view.requests_in_flight = entry.in_flight + executing_;
+    view.sessions = entry.sessions;
+    view.sessions_in_transaction = entry.in_transaction;
+    orders_ = drain_.step(now(), view);
     auto ended = std::vector<session_id>{};
-    for (const auto& [id, caller] : sessions_) {
-        const auto may_close =
-            !caller.running &&
-            (caller.transaction ? orders_.close_idle_transactions
-                                : orders_.close_idle_sessions);
-        if (may_close) {
-            ended.push_back(id);
-        }
+    if (orders_.close_idle_transactions) {
+        ended = entry_->idle_sessions(true);
+    }
+    if (orders_.close_idle_sessions) {
+        const auto idle = entry_->idle_sessions(false);
+        ended.insert(ended.end(), idle.begin(), idle.end());
     }
     for (const auto id : ended) {
         close_session(id);
