coordination: retry idempotent requests that a living owner may have run

Cause: the entry sent an idempotent request again after the link to the owner was lost, but passed "may have run" from a living owner on to the caller.

Change: entry_coordinator keeps such a request pending and routes it again after a pause, within its deadline and the retry budget. A statement of an open transaction is answered, as what ran before it is lost. A request that the caller cancelled is answered too; until now it was sent again after a lost link or a refusal.

Conclusion: both ways of not knowing the outcome are treated alike.

--- a/include/rhubarbrun/coordination/entry_coordinator.hpp
+++ b/include/rhubarbrun/coordination/entry_coordinator.hpp
@@ -107,9 +107,10 @@
 ///
 /// A request waits ("is parked") while it has no route. It is sent again if an
 /// owner answered that it did not run, or, if it is idempotent, after the link
-/// was lost; always within its deadline and, once it may have run, within the
-/// retry budget. Each request ends with exactly one `answer_action` unless its
-/// session ends first.
+/// was lost or the owner answered that it may have run; always within its
+/// deadline and, once it may have run, within the retry budget. A statement of
+/// an open transaction and a cancelled request are not sent again. Each request
+/// ends with exactly one `answer_action` unless its session ends first.
 class entry_coordinator
 {
 public:
@@ -173,6 +174,8 @@
         /// A replica refused it, or it may not go to one.
         bool must_use_primary = false;
         bool is_at_replica = false;
+        /// The caller cancelled it, so it must not be sent again.
+        bool is_cancelled = false;
         /// It waits for a route.
         bool is_parked = false;
         time_point not_before{};
@@ -241,6 +244,8 @@
         -> void;
     auto retry_parked(const entry_view& seen, entry_actions& todo) -> void;
     auto reroute(const entry_view& seen, const entry_reply& reply) -> void;
+    [[nodiscard]] auto keep_for_retry(time_point now, link_id link,
+                                      const entry_reply& reply) -> bool;
     auto finish(const entry_view& seen, session_id id, entry_reply reply,
                 entry_actions& todo) -> void;
     auto finish_with_error(const entry_view& seen, session_id id,
--- a/include/rhubarbrun/coordination/pending_requests.hpp
+++ b/include/rhubarbrun/coordination/pending_requests.hpp
@@ -96,6 +96,13 @@
     /// answer was expected.
     [[nodiscard]] auto on_not_run(request_id id, link_id link) -> bool;
 
+    /// The proxy at the other end answered that the request may have run.
+    /// Returns true if the request is idempotent and its deadline has not
+    /// passed: it stays pending and may be sent again. Otherwise nothing
+    /// changes, and the answer is the caller's.
+    [[nodiscard]] auto on_may_have_run(time_point now, request_id id,
+                                       link_id link) -> bool;
+
     /// Ends a request that has not been sent, or was answered as not run.
     /// Returns no value if it is on its way or unknown.
     [[nodiscard]] auto give_up(request_id id, request_error error)
@@ -130,6 +137,9 @@
 
     auto erase(entry_map::iterator position) -> void;
     auto leave_link(entry& each) -> void;
+    /// Whether the request may be sent again although it may have run.
+    [[nodiscard]] auto may_repeat(time_point now, const entry& each) const
+        -> bool;
     [[nodiscard]] auto end_with(entry_map::iterator position,
                                 request_error error) -> request_ending;
 
--- a/src/coordination/entry_coordinator.cpp
+++ b/src/coordination/entry_coordinator.cpp
@@ -85,6 +85,12 @@
                                  entry_actions& todo) -> void
 {
     auto& caller = sessions_.at(id);
+    if (caller.request->is_cancelled) {
+        finish_with_error(
+            seen, id,
+            not_run(sqlstate::query_canceled, "cancelled by the caller"), todo);
+        return;
+    }
     const auto where = choose_route(seen, caller, todo);
     switch (where.kind) {
     case route::result::send:
@@ -207,12 +213,38 @@
             refused.error = ending->error;
             finish(seen, ending->session, std::move(refused), todo);
         }
+    } else if (keep_for_retry(seen.now, link, reply)) {
+        retry_parked(seen, todo);
     } else if (const auto id = pending_.on_answer(reply.id, link)) {
         finish(seen, *id, reply, todo);
     }
     return todo;
 }
 
+/// Parks an idempotent request that a living owner could not finish.
+auto entry_coordinator::keep_for_retry(time_point now, link_id link,
+                                       const entry_reply& reply) -> bool
+{
+    const auto found = by_request_.find(reply.id);
+    if (!reply.error || found == by_request_.end()) {
+        return false;
+    }
+    const auto id = found->second;
+    auto& caller = sessions_.at(id);
+    auto& request = *caller.request;
+    // What ran before in an open transaction is lost with it, so that its
+    // statement alone cannot be repeated.
+    const auto may_retry = !caller.transaction && !request.is_cancelled;
+    if (!may_retry || !pending_.on_may_have_run(now, reply.id, link)) {
+        return false;
+    }
+    if (request.is_at_replica) {
+        positions_of(caller.group).choice().on_failed(request.target);
+    }
+    park(now, id, caller);
+    return true;
+}
+
 /// Parks a request that an owner refused but another target may serve.
 auto entry_coordinator::reroute(const entry_view& seen,
                                 const entry_reply& reply) -> void
@@ -359,7 +391,8 @@
     if (found == sessions_.end() || !found->second.request) {
         return todo;
     }
-    const auto& request = *found->second.request;
+    auto& request = *found->second.request;
+    request.is_cancelled = true;
     if (request.is_parked) {
         finish_with_error(
             seen, session,
--- a/src/coordination/pending_requests.cpp
+++ b/src/coordination/pending_requests.cpp
@@ -82,6 +82,28 @@
     return true;
 }
 
+auto pending_requests::on_may_have_run(time_point now, request_id id,
+                                       link_id link) -> bool
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.link != link ||
+        !may_repeat(now, found->second))
+    {
+        return false;
+    }
+    found->second.may_have_run = true;
+    leave_link(found->second);
+    return true;
+}
+
+auto pending_requests::may_repeat(time_point now, const entry& each) const
+    -> bool
+{
+    const auto is_safe = each.request.is_idempotent ||
+                         fault_ == pending_fault::resend_non_idempotent;
+    return is_safe && now < each.request.deadline;
+}
+
 auto pending_requests::give_up(request_id id, request_error error)
     -> std::optional<request_ending>
 {
@@ -105,9 +127,7 @@
         auto& each = position->second;
         each.may_have_run = true;
         leave_link(each);
-        const auto may_repeat = each.request.is_idempotent ||
-                                fault_ == pending_fault::resend_non_idempotent;
-        if (may_repeat && now < each.request.deadline) {
+        if (may_repeat(now, each)) {
             result.retries.push_back(id);
         } else {
             result.endings.push_back(end_with(
--- a/tests/coordination/pending_requests_test.cpp
+++ b/tests/coordination/pending_requests_test.cpp
@@ -72,6 +72,9 @@
         case 5:
             answer_not_run(each.first, link);
             break;
+        case 10:
+            answer_may_have_run(each.first, link);
+            break;
         case 6:
             lose(link);
             break;
@@ -162,6 +165,23 @@
         }
     }
 
+    auto answer_may_have_run(std::uint32_t index, link_id link) -> void
+    {
+        auto* const fate = pick(index);
+        if (fate == nullptr) {
+            return;
+        }
+        const auto is_kept =
+            pending_.on_may_have_run(now_, fate->request.id, link);
+        const auto is_due = !fate->has_ended && fate->link == link;
+        RC_ASSERT(!is_kept || is_due);
+        RC_ASSERT(!is_due || is_kept == (fate->request.is_idempotent &&
+                                         now_ < fate->request.deadline));
+        if (is_kept) {
+            fate->link.reset();
+        }
+    }
+
     auto lose(link_id link) -> void
     {
         const auto loss = pending_.on_link_lost(now_, link);
@@ -225,7 +245,7 @@
     return tests::find_failure([fault] {
         const auto steps =
             *rc::gen::container<std::vector<step>>(rc::gen::build<step>(
-                rc::gen::set(&step::kind, rc::gen::inRange(0, 10)),
+                rc::gen::set(&step::kind, rc::gen::inRange(0, 11)),
                 rc::gen::set(&step::first, rc::gen::inRange(0U, 1000U)),
                 rc::gen::set(&step::second, rc::gen::inRange(0U, 1000U))));
         auto model = pending_model(fault);
