transport: sync what a start has read, and begin a segment at a restore

Cause: consensus and its files were tested apart. Run together with a crash at each file operation they showed three faults. - A process that ended between a write and its sync left a record that the next start counted and did not sync. The member then refused to start. - The same happened if a crash kept the removal of only some segments.

Change: a start syncs the last segment and the directory.

Conclusion: a directory that the second fault left behind still refuses to start; its member has to join again with an empty one.

--- a/src/transport/log_recovery.cpp
+++ b/src/transport/log_recovery.cpp
@@ -54,7 +54,9 @@
             hooks_.remove(segment_path(number));
         }
         segments_.clear();
-        start_segment(1);
+        hooks_.sync_directory(
+            std::filesystem::absolute(options_.directory).parent_path());
+        start_segment(1, first_record());
         return;
     }
     if (segments_.empty() || segments_.rbegin()->first < member_.last_segment) {
@@ -64,6 +66,7 @@
     if (has_snapshot) {
         read_snapshot();
     }
+    skip_replaced_segments();
     auto numbers = std::vector<std::uint64_t>{};
     for (const auto& [number, highest] : segments_) {
         numbers.push_back(number);
@@ -79,6 +82,9 @@
     for (const auto number : stale_segments_) {
         hooks_.remove(segment_path(number));
     }
+    // A process that ended before it synced the directory leaves names that a
+    // power failure would still undo.
+    hooks_.sync_directory(options_.directory);
     stored_.state = state_;
 }
 
@@ -99,8 +105,6 @@
     }
     member_.identity = {options_.member, incarnation(instance)};
     write_member();
-    hooks_.sync_directory(
-        std::filesystem::absolute(options_.directory).parent_path());
 }
 
 auto log_store::read_member() -> void
@@ -166,6 +170,29 @@
     }
 }
 
+auto log_store::skip_replaced_segments() -> void
+{
+    // A crash may keep the removal of some of the segments before a restored
+    // snapshot. The ones that are left need not be readable without them.
+    const auto is_restored = [this](std::uint64_t number) {
+        const auto bytes =
+            read_file(segment_path(number), options_.segment_bytes +
+                                                options_.record_bytes +
+                                                record_header_bytes);
+        const auto framed = read_record(bytes, options_.record_bytes);
+        return framed && decode<log_record>(framed->payload).restored;
+    };
+    auto first = segments_.rbegin();
+    while (first != segments_.rend() && !is_restored(first->first)) {
+        ++first;
+    }
+    while (first != segments_.rend() && segments_.begin()->first < first->first)
+    {
+        stale_segments_.push_back(segments_.begin()->first);
+        segments_.erase(segments_.begin());
+    }
+}
+
 auto log_store::read_segment(std::uint64_t number) -> void
 {
     const auto path = segment_path(number);
@@ -218,15 +245,17 @@
         }
         hooks_.remove(segment_path(number));
         segments_.erase(number);
-        start_segment(number);
+        start_segment(number, first_record());
         return;
     }
     open_segment(number);
     segment_size_ = offset;
     if (torn_bytes_ != 0) {
         hooks_.truncate(descriptor_, offset);
-        hooks_.sync(descriptor_);
     }
+    // The last record counts from now on, but a process that ended before it
+    // synced the record leaves it in memory only.
+    hooks_.sync(descriptor_);
 }
 
 auto log_store::replay(std::uint64_t number, std::size_t offset,
@@ -234,10 +263,11 @@
 {
     auto record = decode<log_record>(framed.payload);
     // The first record that is left may follow any entry that the snapshot
-    // covers.
-    const auto is_complete = stored_.entries.empty()
-                                 ? record.previous <= snapshot_index_
-                                 : record.previous == last_;
+    // covers, and a restored snapshot replaces whatever was before it.
+    const auto is_complete =
+        record.restored ||
+        (stored_.entries.empty() ? record.previous <= snapshot_index_
+                                 : record.previous == last_);
     if (!is_complete) {
         throw log_corrupt_error(segment_path(number), offset,
                                 "entries before index " +
--- a/src/transport/log_store.cpp
+++ b/src/transport/log_store.cpp
@@ -171,8 +171,18 @@
             " bytes exceeds the limit of " +
             std::to_string(options_.record_bytes) + " bytes");
     }
+    if (record.restored) {
+        // Earlier segments are removed. In the last of them, the records before
+        // this one may follow entries beyond the snapshot that were void, and
+        // could not be read without the segments before.
+        record.state = record.state.value_or(state_);
+        record.previous = *record.restored;
+        start_segment(member_.last_segment + 1, record);
+        note_written(record);
+        return;
+    }
     if (segment_size_ >= options_.segment_bytes) {
-        start_segment(member_.last_segment + 1);
+        start_segment(member_.last_segment + 1, first_record());
     }
     // One record per sync: only the last record of a segment can be torn.
     const auto framed = frame_record(next_sequence_, payload);
@@ -199,15 +209,20 @@
     }
 }
 
-auto log_store::start_segment(std::uint64_t number) -> void
+auto log_store::first_record() const -> log_record
 {
-    close_segment();
-    open_segment(number);
-    // Each segment repeats the hard state, so that older ones can be removed.
     auto record = log_record{};
     record.state = state_;
     record.previous = last_;
-    const auto framed = frame_record(next_sequence_, encode(record));
+    return record;
+}
+
+auto log_store::start_segment(std::uint64_t number, const log_record& first)
+    -> void
+{
+    close_segment();
+    open_segment(number);
+    const auto framed = frame_record(next_sequence_, encode(first));
     hooks_.write(descriptor_, framed);
     hooks_.sync(descriptor_);
     hooks_.sync_directory(options_.directory);
--- a/src/transport/log_store.hpp
+++ b/src/transport/log_store.hpp
@@ -53,6 +53,7 @@
     auto read_member() -> void;
     auto read_snapshot() -> void;
     auto list_segments() -> void;
+    auto skip_replaced_segments() -> void;
     auto read_segment(std::uint64_t number) -> void;
     auto cut_tail(std::uint64_t number, std::string_view bytes,
                   std::size_t offset) -> void;
@@ -69,7 +70,10 @@
     auto save_snapshot(const log_snapshot& snapshot) -> void;
     auto append(log_record record) -> void;
     auto note_written(const log_record& record) -> void;
-    auto start_segment(std::uint64_t number) -> void;
+    /// Each segment begins with the hard state, so that older ones can be
+    /// removed.
+    [[nodiscard]] auto first_record() const -> log_record;
+    auto start_segment(std::uint64_t number, const log_record& first) -> void;
     auto open_segment(std::uint64_t number) -> void;
     auto close_segment() noexcept -> void;
     auto remove_covered_segments() -> void;
--- a/tests/transport/log_files_test.cpp
+++ b/tests/transport/log_files_test.cpp
@@ -1,5 +1,7 @@
 #include <rhubarbrun/transport/log_files.hpp>
 
+#include "volatile_disk.hpp"
+
 #include <doctest/doctest.h>
 
 #include <cerrno>
@@ -524,3 +526,67 @@
     auto log = open_log(directory.path());
     CHECK(log.take_stored().entries.size() == 1000);
 }
+
+// Guards against a member that cannot start again: the last segment began with
+// a record that followed void entries beyond the restored snapshot, and the
+// segments with these entries were removed.
+TEST_CASE("a snapshot restored below the last entry can be read again")
+{
+    for (auto kept = std::size_t{0}; kept < 4; ++kept) {
+        const auto directory = test_directory{};
+        auto hooks = unsynced_hooks();
+        auto removed = std::size_t{0};
+        // Some of the covered segments stay, as after a crash.
+        hooks.remove = [&, remove = hooks.remove](const fs::path& path) {
+            if (++removed > kept) {
+                remove(path);
+            }
+        };
+        {
+            auto log = open_log(directory.path(), hooks);
+            for (auto index = std::uint64_t{1}; index <= 40; ++index) {
+                auto ready = consensus_ready{};
+                ready.entries = {make_entry(index, 1)};
+                log.save(ready);
+            }
+            auto ready = consensus_ready{};
+            ready.snapshot = make_snapshot(20, 2);
+            ready.is_restore = true;
+            ready.entries = {make_entry(21, 2)};
+            log.save(ready);
+            CHECK(removed > 3);
+        }
+        auto log = open_log(directory.path());
+        const auto stored = log.take_stored();
+        REQUIRE(stored.snapshot);
+        CHECK(stored.snapshot->metadata.index == log_index(20));
+        CHECK(stored.entries == std::vector{make_entry(21, 2)});
+    }
+}
+
+// Guards against a start that counts what a former process wrote and did not
+// sync.
+TEST_CASE("what a start has read survives a power failure after it")
+{
+    auto is_finished = false;
+    for (auto point = std::size_t{0}; !is_finished; ++point) {
+        const auto directory = test_directory{};
+        auto disk = test::volatile_disk(directory.path());
+        disk.crash_after(point);
+        try {
+            auto log = open_log(directory.path(), disk.hooks());
+            for (const auto& ready : make_history()) {
+                log.save(ready);
+            }
+            is_finished = true;
+        } catch (const test::simulated_crash&) {
+        }
+        disk.stop_crashing();
+        const auto read =
+            open_log(directory.path(), disk.hooks()).take_stored();
+        disk.lose_power();
+        const auto left =
+            open_log(directory.path(), disk.hooks()).take_stored();
+        CHECK(is_equal(read, left));
+    }
+}
