state: share the checks of bundle steps and of assignments

Cause: approve and roll repeated the checks of version, digest, operator and repetition, and assign, handover and release those of target and epoch.

Change: find_step and find_assignment hold them; describe also takes the operator who took a step. The order of the checks is the same.

Measured: state, coordination and protocol tests pass, which include the replay of recorded commands.

Conclusion: no answer changed.

--- a/include/rhubarbrun/state/control_state.hpp
+++ b/include/rhubarbrun/state/control_state.hpp
@@ -240,6 +240,34 @@
         }
     };
 
+    /// A bundle that an operator wants to approve or roll.
+    struct bundle_step
+    {
+        /// Null if the version is unknown.
+        bundle_record* record;
+        /// Whether this operator took the step before.
+        bool is_repeat;
+        std::optional<command_result> refusal;
+    };
+
+    /// A target whose assignment is to be changed.
+    struct assignment_check
+    {
+        /// Null if the target is unknown.
+        target_record* record;
+        /// Names the target's epoch; not ok if that is another one than
+        /// expected, or if the target is unknown.
+        command_result result;
+    };
+
+    /// `recorded` is the operator who took the step, as the record has it.
+    [[nodiscard]] auto
+    find_step(bundle_version version, const bundle_digest& digest,
+              const operator_id& actor, operator_id bundle_record::*recorded)
+        -> bundle_step;
+    [[nodiscard]] auto find_assignment(const target_id& target,
+                                       owner_epoch expected)
+        -> assignment_check;
     auto run(const bootstrap_command& command) -> command_result;
     auto run(const propose_bundle_command& command) -> command_result;
     auto run(const approve_bundle_command& command) -> command_result;
--- a/src/state/control_state_bundles.cpp
+++ b/src/state/control_state_bundles.cpp
@@ -121,28 +121,39 @@
                     records_.insert_or_assign(version, record).first->second);
 }
 
-auto control_state::run(const approve_bundle_command& command) -> command_result
+auto control_state::find_step(bundle_version version,
+                              const bundle_digest& digest,
+                              const operator_id& actor,
+                              operator_id bundle_record::*recorded)
+    -> bundle_step
 {
-    const auto found = records_.find(command.version);
-    const auto is_match =
-        found != records_.end() && found->second.digest == command.digest;
-    const auto is_repeat = is_match && !command.approver.is_empty() &&
-                           found->second.approver == command.approver;
-    if (!is_repeat && !is_operator(command.approver)) {
-        return refuse(command_status::unknown_operator);
-    }
-    if (found == records_.end()) {
-        return refuse(command_status::unknown_version);
+    auto* const record = find_in(records_, version);
+    const auto is_match = record != nullptr && record->digest == digest;
+    const auto is_repeat =
+        is_match && !actor.is_empty() && record->*recorded == actor;
+    auto step = bundle_step{record, is_repeat, std::nullopt};
+    if (!is_repeat && !is_operator(actor)) {
+        step.refusal = refuse(command_status::unknown_operator);
+    } else if (record == nullptr) {
+        step.refusal = refuse(command_status::unknown_version);
+    } else if (!is_match) {
+        step.refusal = describe(command_status::digest_mismatch, *record);
     }
-    auto& record = found->second;
-    if (!is_match) {
-        return describe(command_status::digest_mismatch, record);
+    return step;
+}
+
+auto control_state::run(const approve_bundle_command& command) -> command_result
+{
+    const auto step = find_step(command.version, command.digest,
+                                command.approver, &bundle_record::approver);
+    if (step.refusal) {
+        return *step.refusal;
     }
-    if (!is_repeat) {
+    auto& record = *step.record;
+    if (!step.is_repeat) {
         if (!record.approver.is_empty()) {
-            auto result = describe(command_status::already_approved, record);
-            result.actor = record.approver;
-            return result;
+            return describe(command_status::already_approved, record,
+                            record.approver);
         }
         if (record.stage == bundle_stage::withdrawn) {
             return describe(command_status::withdrawn, record);
@@ -155,36 +166,24 @@
         record.approved_at = applied_;
         record.approved_ms = command.wall_time_ms;
     }
-    auto result = describe(command_status::ok, record);
-    result.actor = record.approver;
+    auto result = describe(command_status::ok, record, record.approver);
     result.effective_at = record.approved_at;
     return result;
 }
 
 auto control_state::run(const roll_bundle_command& command) -> command_result
 {
-    const auto found = records_.find(command.version);
-    const auto is_match =
-        found != records_.end() && found->second.digest == command.digest;
-    const auto is_repeat = is_match && !command.roller.is_empty() &&
-                           found->second.roller == command.roller;
-    if (!is_repeat && !is_operator(command.roller)) {
-        return refuse(command_status::unknown_operator);
-    }
-    if (found == records_.end()) {
-        return refuse(command_status::unknown_version);
+    const auto step = find_step(command.version, command.digest, command.roller,
+                                &bundle_record::roller);
+    if (step.refusal) {
+        return *step.refusal;
     }
-    auto& record = found->second;
-    if (!is_match) {
-        return describe(command_status::digest_mismatch, record);
-    }
-    if (!is_repeat) {
+    auto& record = *step.record;
+    if (!step.is_repeat) {
         switch (record.stage) {
-        case bundle_stage::rolled: {
-            auto result = describe(command_status::already_rolled, record);
-            result.actor = record.roller;
-            return result;
-        }
+        case bundle_stage::rolled:
+            return describe(command_status::already_rolled, record,
+                            record.roller);
         case bundle_stage::withdrawn:
             return describe(command_status::withdrawn, record);
         case bundle_stage::proposed:
@@ -200,10 +199,9 @@
         record.rolled_at = applied_;
         record.rolled_ms = command.wall_time_ms;
     }
-    auto result = describe(command_status::ok, record);
-    result.actor = record.roller;
+    auto result = describe(command_status::ok, record, record.roller);
     result.effective_at = record.rolled_at;
-    if (!is_repeat) {
+    if (!step.is_repeat) {
         put_in_force(record);
     }
     return result;
--- a/src/state/control_state_helpers.hpp
+++ b/src/state/control_state_helpers.hpp
@@ -47,6 +47,15 @@
     return result;
 }
 
+/// As above, with the operator who took the step.
+inline auto describe(command_status status, const bundle_record& record,
+                     const operator_id& actor) -> command_result
+{
+    auto result = describe(status, record);
+    result.actor = actor;
+    return result;
+}
+
 inline auto checksum(std::string_view bytes) -> std::string
 {
     auto hash = std::string(SHA256_DIGEST_LENGTH, '\0');
--- a/src/state/control_state_members.cpp
+++ b/src/state/control_state_members.cpp
@@ -206,75 +206,65 @@
 
 // Assignments
 
+auto control_state::find_assignment(const target_id& target,
+                                    owner_epoch expected) -> assignment_check
+{
+    auto* const record = find_in(targets_, target);
+    if (record == nullptr) {
+        return {nullptr, refuse(command_status::unknown_target)};
+    }
+    auto result =
+        refuse(record->epoch == expected ? command_status::ok
+                                         : command_status::stale_epoch);
+    result.epoch = record->epoch;
+    return {record, std::move(result)};
+}
+
 auto control_state::run(const assign_target_command& command) -> command_result
 {
-    const auto found = targets_.find(command.target);
-    if (found == targets_.end()) {
-        return refuse(command_status::unknown_target);
-    }
-    auto& record = found->second;
-    auto result = command_result{};
-    result.epoch = record.epoch;
-    if (record.epoch != command.expected_epoch) {
-        result.status = command_status::stale_epoch;
-        return result;
-    }
-    if (command.owner) {
+    auto [record, result] =
+        find_assignment(command.target, command.expected_epoch);
+    if (result.is_ok() && command.owner) {
         result.status = check_assignable(*command.owner);
     }
-    if (result.is_ok() && record.owner != command.owner) {
-        set_holders(record, command.owner, std::nullopt);
-        result.epoch = record.epoch;
+    if (result.is_ok() && record->owner != command.owner) {
+        set_holders(*record, command.owner, std::nullopt);
+        result.epoch = record->epoch;
     }
     return result;
 }
 
 auto control_state::run(const begin_handover_command& command) -> command_result
 {
-    const auto found = targets_.find(command.target);
-    if (found == targets_.end()) {
-        return refuse(command_status::unknown_target);
-    }
-    auto& record = found->second;
-    auto result = command_result{};
-    result.epoch = record.epoch;
-    if (record.epoch != command.expected_epoch) {
-        result.status = command_status::stale_epoch;
-    } else if (!record.owner) {
+    auto [record, result] =
+        find_assignment(command.target, command.expected_epoch);
+    if (result.is_ok() && !record->owner) {
         result.status = command_status::not_owner;
-    } else if (command.next_owner) {
+    } else if (result.is_ok() && command.next_owner) {
         result.status = check_assignable(*command.next_owner);
     }
     if (result.is_ok()) {
-        const auto next = command.next_owner == record.owner
+        const auto next = command.next_owner == record->owner
                               ? std::nullopt
                               : command.next_owner;
-        set_holders(record, record.owner, next);
+        set_holders(*record, record->owner, next);
     }
     return result;
 }
 
 auto control_state::run(const release_target_command& command) -> command_result
 {
-    const auto found = targets_.find(command.target);
-    if (found == targets_.end()) {
-        return refuse(command_status::unknown_target);
-    }
-    auto& record = found->second;
-    auto result = command_result{};
-    result.epoch = record.epoch;
-    if (record.epoch != command.epoch) {
-        result.status = command_status::stale_epoch;
-    } else if (record.owner != command.owner) {
+    auto [record, result] = find_assignment(command.target, command.epoch);
+    if (result.is_ok() && record->owner != command.owner) {
         result.status = command_status::not_owner;
     }
     if (result.is_ok()) {
         const auto can_pass_on =
-            record.next_owner &&
-            check_assignable(*record.next_owner) == command_status::ok;
-        set_holders(record, can_pass_on ? record.next_owner : std::nullopt,
+            record->next_owner &&
+            check_assignable(*record->next_owner) == command_status::ok;
+        set_holders(*record, can_pass_on ? record->next_owner : std::nullopt,
                     std::nullopt);
-        result.epoch = record.epoch;
+        result.epoch = record->epoch;
     }
     return result;
 }
--- a/src/state/target_index.hpp
+++ b/src/state/target_index.hpp
@@ -10,7 +10,7 @@
 namespace rhubarbrun::detail::target_index {
 
 template <class Map, class Key>
-auto find_in(const Map& map, const Key& key) -> const typename Map::mapped_type*
+auto find_in(Map& map, const Key& key) -> decltype(&map.find(key)->second)
 {
     const auto found = map.find(key);
     return found == map.end() ? nullptr : &found->second;
