transport: let a replica serve reads only on the term's timeline

Cause: The owner of a replica labelled its position with the term of its directory copy. A replica that holds log of the old primary past the point where the new term begins thus reported a position of the new term that it does not have, and ran reads whose floor it does not satisfy. The entry's list of followers is from the old primary until the new one's owner is asked.

Change: The owner of a replica reads the timeline from the term's primary, once per term, and serves reads and reports a position only after the replica has been seen on this timeline. The check is repeated on each new connection.

Measured: The new test runs a read with floor 140 of the new term against a diverged replica at 150. With any earlier term accepted, as before, the read runs; with the check it is sent to the primary.

Conclusion: A diverged replica satisfies no floor of the new term.

--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -205,6 +205,12 @@
     auto follow_primary() -> void;
     auto run_follow_step(std::vector<statement> steps, std::size_t index)
         -> void;
+    /// At a replica: reads the timeline of the term's primary once per term.
+    auto learn_timeline(time_point now) -> void;
+    /// Notes whether the replica has been seen on the term's timeline.
+    auto check_history() -> void;
+    /// Whether the server's log belongs to the group's current term.
+    [[nodiscard]] auto follows_term() const -> bool;
     auto claim_primary() -> void;
     auto leave_role(std::string_view reason) -> void;
     auto check_primary(time_point now) -> void;
@@ -215,6 +221,11 @@
         -> std::unique_ptr<failover>;
     auto carry_out(const std::vector<failover_action>& actions) -> void;
     auto read_status_of(const target_id& target) -> void;
+    /// Reads the state of another server of the group.
+    auto probe_other(
+        const target_id& target,
+        const std::function<void(const std::optional<server_state>&)>& done)
+        -> void;
     [[nodiscard]] auto other_proxies() const -> std::vector<proxy_id>;
     auto step_handover(time_point now) -> void;
     auto release_if_gone(time_point now) -> void;
@@ -300,6 +311,14 @@
     std::uint32_t prepared_timeline_ = 0;
     /// Since when the primary's record says that it leaves.
     std::optional<time_point> leaving_since_;
+    /// Timeline of the primary of `timeline_term_`; read from the primary
+    /// itself, as terms are not timelines: a term may pass without promotion.
+    std::uint32_t term_timeline_ = 0;
+    term timeline_term_;
+    time_point next_timeline_read_{};
+    /// Term whose timeline the replica had on the present connection; 0 for
+    /// none. A standby never goes back to an earlier timeline.
+    term history_term_;
     /// Term for which this target was told whom to follow; 0 for none.
     term followed_term_;
     time_point next_claim_{};
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -194,7 +194,7 @@
                     now_term, self->acknowledger_.highest_acknowledged()};
                 answer.log_end = log_position{now_term, self->state_->position};
                 answer.followers = self->followers_;
-            } else if (self->state_->is_in_recovery) {
+            } else if (self->state_->is_in_recovery && self->follows_term()) {
                 answer.position =
                     log_position{now_term, self->state_->position};
             }
@@ -275,6 +275,7 @@
     expire_jobs(now);
     advance_role();
     watch_older(now);
+    learn_timeline(now);
     check_primary(now);
     step_handover(now);
     release_if_gone(now);
@@ -286,6 +287,7 @@
     // Another server, or the same one with another history, may answer at the
     // address after a restart.
     state_.reset();
+    history_term_ = term(0);
     advance_role();
 }
 
@@ -294,6 +296,7 @@
 {
     state_ = state;
     state_asked_at_ = asked_at;
+    check_history();
     if (failover_) {
         carry_out(failover_->on_primary_answered());
     }
--- a/src/transport/owned_target_jobs.cpp
+++ b/src/transport/owned_target_jobs.cpp
@@ -158,7 +158,9 @@
     if (!request.is_read_only) {
         return elsewhere("the target is not the group's primary");
     }
-    if (!state_ || !state_->is_in_recovery) {
+    // The log of a replica that has diverged may end beyond any floor and
+    // still lack the writes of the new term.
+    if (!state_ || !state_->is_in_recovery || !follows_term()) {
         return refused_reply(make_error(verdict::not_run,
                                         sqlstate::cannot_connect_now,
                                         "the replica is not ready"),
@@ -259,8 +261,10 @@
     const auto now = hooks_.now();
     auto& work = jobs_.at(ticket);
     const auto is_write = !work.request.is_read_only;
-    const auto is_allowed = may_serve() && (!is_write || may_write()) &&
-                            !work.is_abandoned && now < work.deadline;
+    const auto is_fit =
+        is_write ? may_write() : work.pin.has_value() || follows_term();
+    const auto is_allowed =
+        may_serve() && is_fit && !work.is_abandoned && now < work.deadline;
     if (!is_allowed) {
         queue_->on_finished(now, ticket, duration::zero());
         if (work.pin) {
@@ -353,7 +357,7 @@
         wait_for_second_server(ticket);
     } else {
         auto reply = work.answer;
-        if (state_ && group_.primary && !is_designated_primary()) {
+        if (state_ && follows_term() && !is_designated_primary()) {
             reply.position =
                 log_position{group_.primary->group_term, state_->position};
         }
@@ -474,7 +478,8 @@
             continue;
         }
         auto& work = found->second;
-        if (state_ && state_->position >= work.request.floor->offset) {
+        if (state_ && follows_term() &&
+            state_->position >= work.request.floor->offset) {
             auto ready = std::move(work);
             jobs_.erase(found);
             admit(std::move(ready));
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -235,6 +235,49 @@
         });
 }
 
+auto owned_target::learn_timeline(time_point now) -> void
+{
+    const auto is_needed = may_serve() && group_.primary &&
+                           !is_designated_primary() &&
+                           timeline_term_ != group_.primary->group_term;
+    if (!is_needed || now < next_timeline_read_) {
+        return;
+    }
+    next_timeline_read_ = now + status_limit;
+    const auto asked = group_.primary->group_term;
+    probe_other(group_.primary->target, [this, asked](const auto& state) {
+        // Until it is promoted it has the timeline of the term before.
+        const auto is_usable = state && !state->is_in_recovery &&
+                               group_.primary &&
+                               group_.primary->group_term == asked;
+        if (is_usable) {
+            timeline_term_ = asked;
+            term_timeline_ = state->timeline;
+            check_history();
+        } else {
+            next_timeline_read_ = hooks_.now() + role_retry_interval;
+        }
+    });
+}
+
+auto owned_target::check_history() -> void
+{
+    const auto is_on_timeline = group_.primary && state_ &&
+                                state_->is_in_recovery &&
+                                timeline_term_ == group_.primary->group_term &&
+                                state_->timeline == term_timeline_;
+    if (is_on_timeline && history_term_ != timeline_term_) {
+        history_term_ = timeline_term_;
+        log_role("replica_follows_term");
+    }
+}
+
+auto owned_target::follows_term() const -> bool
+{
+    return group_.primary && (is_designated_primary() ||
+                              history_term_ == group_.primary->group_term);
+}
+
 auto owned_target::claim_primary() -> void
 {
     const auto now = hooks_.now();
@@ -416,6 +459,24 @@
 }
 
 auto owned_target::read_status_of(const target_id& target) -> void
+{
+    probe_other(target, [this, target](const auto& state) {
+        if (!failover_) {
+            return;
+        }
+        log_status(target, state);
+        if (!state) {
+            return;
+        }
+        const auto status = server_status{state->is_in_recovery,
+                                          state->timeline, state->received};
+        carry_out(failover_->on_status(hooks_.now(), target, status));
+    });
+}
+
+auto owned_target::probe_other(
+    const target_id& target,
+    const std::function<void(const std::optional<server_state>&)>& done) -> void
 {
     const auto* const other = view_->find_target(target);
     if (other == nullptr) {
@@ -430,20 +491,11 @@
     options.application_name =
         target_application_name(options_.self.id, other->epoch);
     probe_target(strand_, std::move(options), status_limit,
-                 [weak = weak_from_this(), target](const auto& state) {
+                 [weak = weak_from_this(), done](const auto& state) {
                      const auto self = weak.lock();
-                     if (!self || !self->failover_) {
-                         return;
-                     }
-                     log_status(target, state);
-                     if (!state) {
-                         return;
+                     if (self && !self->is_stopped_) {
+                         done(state);
                      }
-                     const auto status =
-                         server_status{state->is_in_recovery, state->timeline,
-                                       state->received};
-                     self->carry_out(self->failover_->on_status(
-                         self->hooks_.now(), target, status));
                  });
 }
 
--- a/tests/transport/owned_target_test.cpp
+++ b/tests/transport/owned_target_test.cpp
@@ -660,3 +660,45 @@
     test.holds_lease = true;
     CHECK(run_until(test.context, [&] { return test.target.starts > starts; }));
 }
+
+TEST_CASE("a replica that has diverged satisfies no floor of the new term")
+{
+    // Its log runs past the point where the new term begins, so that its
+    // position alone would pass for one that holds the session's write.
+    auto diverged = scripted_server{};
+    diverged.is_in_recovery = true;
+    diverged.position = 150;
+    auto test = owner_fixture(replica_id, diverged);
+    test.replica.is_in_recovery = false;
+    test.replica.timeline = 2;
+    test.group_term = term(5);
+    test.owned->set_directory(test.view());
+    const auto read_at_floor = [&test] {
+        auto request = execute_request{};
+        request.is_read_only = true;
+        request.floor = log_position{term(5), log_offset(140)};
+        const auto count = test.replies.size() + 1;
+        test.submit(std::move(request), "ROWS");
+        test.wait_for_replies(count);
+        return test.replies.back();
+    };
+    const auto asked_position = [&test] {
+        auto answer = std::make_shared<std::optional<position_answer>>();
+        test.owned->query(
+            [answer](const position_answer& given) { *answer = given; });
+        REQUIRE(run_until(test.context, [&] { return answer->has_value(); }));
+        return (*answer)->position;
+    };
+    REQUIRE(run_until(test.context, [&] { return test.status().is_serving; }));
+    test.context.restart();
+    test.context.run_for(std::chrono::milliseconds(500));
+    const auto refused = read_at_floor();
+    CHECK(outcome_of(refused) == verdict::not_run);
+    CHECK(refused.reroute == reroute_hint::use_primary);
+    CHECK_FALSE(asked_position().has_value());
+    // Once it has the timeline of the new primary it serves reads again.
+    test.server.timeline = 2;
+    REQUIRE(
+        run_until(test.context, [&] { return asked_position().has_value(); }));
+    CHECK_FALSE(read_at_floor().error.has_value());
+}
