transport: pass a CancelRequest on to the proxy that holds the session

Cause: the load balancer sends a CancelRequest to any proxy, and only the one that holds the session knew its key. The secret came from a Mersenne Twister with a seed of 32 bits and could be predicted.

A proxy that does not know a key sends it to the registered proxies that the process id names, as forward_cancel; they look it up and never pass it on. The message belongs to version 2 of the internal protocol and is not sent to peers of version 1. At most 8 cancels wait for a link to one proxy, and messages that wait for a link expire after 1 s, as a late cancel would meet another statement.

Conclusion: a cancel works at whichever proxy it arrives.

--- a/include/rhubarbrun/protocol/execute_messages.hpp
+++ b/include/rhubarbrun/protocol/execute_messages.hpp
@@ -128,6 +128,21 @@
     }
 };
 
+/// Proxy that received a CancelRequest to the proxy that may hold the session.
+/// Not answered; dropped if the key is not known there, and never passed on.
+struct forward_cancel
+{
+    /// The cancel key, as the caller sent it.
+    std::uint32_t process = 0;
+    std::uint32_t secret = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(process, secret);
+    }
+};
+
 /// Entry proxy to owner: how far is this target, and how busy?
 struct position_query
 {
--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -40,6 +40,8 @@
     cancel = 82,
     position_query = 83,
     position_answer = 84,
+    /// Since version 2.
+    forward_cancel = 85,
 };
 
 /// One authenticated message.
--- a/include/rhubarbrun/protocol/link_handshake.hpp
+++ b/include/rhubarbrun/protocol/link_handshake.hpp
@@ -20,8 +20,17 @@
     std::uint8_t highest = 1;
 };
 
-/// Versions that this build speaks.
-inline constexpr auto supported_versions = version_range{1, 1};
+/// Versions that this build speaks. Version 2 adds `forward_cancel`.
+inline constexpr auto supported_versions = version_range{1, 2};
+
+/// Whether a peer that speaks `version` knows messages of this type. One that
+/// does not closes the link.
+[[nodiscard]] constexpr auto is_in_version(message_type type,
+                                           std::uint8_t version) noexcept
+    -> bool
+{
+    return type != message_type::forward_cancel || version >= 2;
+}
 
 /// Which end of a link this is.
 enum class link_side : std::uint8_t
--- a/include/rhubarbrun/transport/caller_server.hpp
+++ b/include/rhubarbrun/transport/caller_server.hpp
@@ -32,8 +32,10 @@
     /// not read an answer.
     duration send_timeout = std::chrono::seconds(30);
     caller_protocol_options protocol;
-    /// Draws the secrets of backend keys.
+    /// Draws the secrets of cancel keys; must not be predictable.
     random_function random;
+    /// Part of the cancel keys; see `cancel_keys.hpp`.
+    std::uint32_t proxy_tag = 0;
 };
 
 /// Called on the strand of the session, never with a lock held.
@@ -44,8 +46,8 @@
     /// Answer with `complete`.
     std::function<void(session_id, caller_request)> on_request;
     std::function<void(session_id, const std::string& token)> on_token;
-    /// A CancelRequest with a key of this server, and the session it names;
-    /// no session if the key is not known here.
+    /// A CancelRequest, and the session that its key names; no session if the
+    /// key is not known here.
     std::function<void(const backend_key&, std::optional<session_id>)>
         on_cancel;
     /// The session ended; a request that was not completed must not be
@@ -87,6 +89,10 @@
     /// Stops accepting and drops all connections.
     auto stop() -> void;
 
+    /// The session with this cancel key.
+    [[nodiscard]] auto find_session(const backend_key& key) const
+        -> std::optional<session_id>;
+
     [[nodiscard]] auto connection_count() const -> std::size_t;
 
 private:
--- a/include/rhubarbrun/transport/proxy_node.hpp
+++ b/include/rhubarbrun/transport/proxy_node.hpp
@@ -65,6 +65,7 @@
     [[nodiscard]] auto failure() const -> std::string;
 
     [[nodiscard]] auto caller_port() const -> std::uint16_t;
+    [[nodiscard]] auto http_port() const -> std::uint16_t;
 
 private:
     // Composition, in proxy_node.cpp.
@@ -95,6 +96,10 @@
     auto on_link_down(const link_info& link) -> void;
     auto on_message(const link_info& link, message_type type,
                     std::string payload) -> void;
+    /// A CancelRequest whose key is not known here: passes it to the proxies
+    /// that may hold the session.
+    auto pass_on_cancel(const backend_key& key) -> void;
+    auto on_forward_cancel(const forward_cancel& message) -> void;
     auto on_execute(const link_info& link, execute_request request) -> void;
     auto on_position_query(const link_info& link, const position_query& query)
         -> void;
@@ -144,11 +149,17 @@
     std::map<target_id, owned> targets_;
 
     ranked_mutex links_mutex_{lock_rank::proxy_links};
-    std::map<proxy_id, link_id> proxy_links_;
+    struct proxy_link
+    {
+        link_id id;
+        std::uint8_t version = 0;
+    };
+    std::map<proxy_id, proxy_link> proxy_links_;
     struct unsent_message
     {
         message_type type;
         std::string payload;
+        time_point queued_at;
     };
     std::map<proxy_id, std::vector<unsent_message>> unsent_;
 
--- a/src/transport/caller_server.cpp
+++ b/src/transport/caller_server.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbrun/transport/caller_server.hpp>
 
+#include <rhubarbrun/coordination/cancel_keys.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
 
@@ -7,6 +8,7 @@
 #include <netinet/tcp.h>
 
 #include <array>
+#include <map>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -22,6 +24,9 @@
 /// Connections beyond the limit that may wait for their 53300; a client reads
 /// it only after it has sent its startup packet.
 constexpr auto refusal_slots = std::size_t{64};
+/// Draws of a secret until the key differs from those in use. Keys of sessions
+/// with one process id are equal with a chance of 1 in 2^32 for each draw.
+constexpr auto most_secret_draws = 4;
 constexpr auto accept_pause = std::chrono::milliseconds(100);
 /// Time for a caller to read the last message before its connection closes.
 constexpr auto linger_time = std::chrono::seconds(1);
@@ -68,6 +73,8 @@
 private:
     auto accept_next() -> void;
     auto add(tcp::socket socket) -> void;
+    /// Draws a cancel key that no other session has.
+    [[nodiscard]] auto draw_key(session_id session) -> backend_key;
 
     asio::io_context& context_;
     caller_server_options options_;
@@ -78,6 +85,8 @@
     std::uint16_t port_ = 0;
     ranked_mutex mutex_{lock_rank::sessions};
     std::unordered_map<session_id, std::shared_ptr<connection>> connections_;
+    /// Sessions by cancel key.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, session_id> keys_;
     std::uint64_t last_id_ = 0;
     bool is_draining_ = false;
 };
@@ -407,10 +416,7 @@
             return;
         }
         const auto id = session_id(++last_id_);
-        auto key = backend_key{};
-        // Positive, as clients print it as a signed process id.
-        key.process = static_cast<std::uint32_t>(id.value() & 0x7fffffffU);
-        key.secret = static_cast<std::uint32_t>(options_.random());
+        const auto key = draw_key(id);
         added = std::make_shared<connection>(
             shared_from_this(), std::move(socket), id, key,
             connections_.size() >= options_.max_connections);
@@ -419,6 +425,19 @@
     added->post([](connection& self) { self.start(); });
 }
 
+auto caller_server::shared_state::draw_key(session_id session) -> backend_key
+{
+    auto key = backend_key{};
+    key.process = cancel_process(options_.proxy_tag, session.value());
+    for (auto draw = 0; draw < most_secret_draws; ++draw) {
+        key.secret = static_cast<std::uint32_t>(options_.random());
+        if (keys_.try_emplace({key.process, key.secret}, session).second) {
+            break;
+        }
+    }
+    return key;
+}
+
 auto caller_server::shared_state::stop_accepting() -> void
 {
     {
@@ -453,6 +472,7 @@
     auto forgotten = decltype(connections_){};
     const auto lock = std::scoped_lock(mutex_);
     forgotten.swap(connections_);
+    keys_.clear();
 }
 
 auto caller_server::shared_state::find(session_id session)
@@ -466,17 +486,24 @@
 auto caller_server::shared_state::find_key(const backend_key& key)
     -> std::optional<session_id>
 {
-    const auto found = find(session_id(key.process));
-    if (!found || !(found->key() == key)) {
-        return std::nullopt;
-    }
-    return found->id();
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = keys_.find({key.process, key.secret});
+    return found == keys_.end() ? std::nullopt : std::optional(found->second);
 }
 
 auto caller_server::shared_state::remove(session_id session) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    connections_.erase(session);
+    const auto found = connections_.find(session);
+    if (found == connections_.end()) {
+        return;
+    }
+    const auto& key = found->second->key();
+    const auto named = keys_.find({key.process, key.secret});
+    if (named != keys_.end() && named->second == session) {
+        keys_.erase(named);
+    }
+    connections_.erase(found);
 }
 
 auto caller_server::shared_state::list()
@@ -568,6 +595,12 @@
     state_->stop();
 }
 
+auto caller_server::find_session(const backend_key& key) const
+    -> std::optional<session_id>
+{
+    return state_->find_key(key);
+}
+
 auto caller_server::connection_count() const -> std::size_t
 {
     return state_->count();
--- a/src/transport/proxy_node.cpp
+++ b/src/transport/proxy_node.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbrun/transport/proxy_node.hpp>
 
+#include <rhubarbrun/coordination/cancel_keys.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/worker_pool.hpp>
 
@@ -54,6 +55,11 @@
     return callers_->port();
 }
 
+auto proxy_node::http_port() const -> std::uint16_t
+{
+    return http_port_;
+}
+
 auto proxy_node::make_links() -> void
 {
     auto hooks = peer_link_hooks{};
@@ -165,7 +171,8 @@
     auto options = caller_server_options{};
     options.listen = settings_.caller_listen;
     options.max_connections = settings_.max_callers;
-    options.random = random_;
+    options.random = random_number;
+    options.proxy_tag = proxy_tag(self_.id);
     options.protocol.is_valid_token = [](std::string_view token) {
         return std::holds_alternative<session_token>(
             parse_session_token(token));
@@ -180,10 +187,12 @@
     hooks.on_token = [this](session_id session, const std::string& token) {
         entry_->on_token(session, token);
     };
-    hooks.on_cancel = [this](const backend_key&,
+    hooks.on_cancel = [this](const backend_key& key,
                              std::optional<session_id> session) {
         if (session) {
             entry_->on_cancel(*session);
+        } else {
+            pass_on_cancel(key);
         }
     };
     hooks.on_closed = [this](session_id session) {
--- a/src/transport/proxy_node_messages.cpp
+++ b/src/transport/proxy_node_messages.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbrun/transport/proxy_node.hpp>
 
+#include <rhubarbrun/coordination/cancel_keys.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/target_probe.hpp>
 #include <rhubarbrun/transport/worker_pool.hpp>
@@ -18,6 +19,12 @@
 constexpr auto confirmation_limit = std::chrono::milliseconds(250);
 /// Messages kept for a proxy to which no link is established yet.
 constexpr auto most_unsent_messages = std::size_t{16};
+/// Of them cancel keys, which anybody can make this proxy pass on; the rest is
+/// left for confirmations.
+constexpr auto most_unsent_cancels = std::ptrdiff_t{8};
+/// An older message is not sent any more: a cancel would meet a later
+/// statement, and the time for a confirmation is over.
+constexpr auto unsent_lifetime = std::chrono::seconds(1);
 
 auto not_owned_reply(request_id id) -> execute_reply
 {
@@ -127,7 +134,7 @@
         const auto lock = std::lock_guard(links_mutex_);
         const auto found = proxy_links_.find(proxy);
         if (found != proxy_links_.end()) {
-            return found->second;
+            return found->second.id;
         }
     }
     const auto view = control_->view();
@@ -147,15 +154,34 @@
 auto proxy_node::send_when_linked(const proxy_id& proxy, message_type type,
                                   std::string payload) -> void
 {
-    const auto link = find_link(proxy);
-    if (link) {
-        links_->send(*link, type, payload);
+    if (const auto link = find_link(proxy)) {
+        auto is_known = false;
+        {
+            const auto lock = std::lock_guard(links_mutex_);
+            const auto found = proxy_links_.find(proxy);
+            is_known = found != proxy_links_.end() &&
+                       is_in_version(type, found->second.version);
+        }
+        if (is_known) {
+            links_->send(*link, type, payload);
+        }
         return;
     }
+    const auto now = steady_now();
     const auto lock = std::lock_guard(links_mutex_);
     auto& waiting = unsent_[proxy];
-    if (waiting.size() < most_unsent_messages) {
-        waiting.push_back({type, std::move(payload)});
+    std::erase_if(waiting, [&](const unsent_message& message) {
+        return now - message.queued_at >= unsent_lifetime;
+    });
+    const auto cancels = std::count_if(
+        waiting.begin(), waiting.end(), [](const unsent_message& message) {
+            return message.type == message_type::forward_cancel;
+        });
+    const auto is_full = waiting.size() >= most_unsent_messages ||
+                         (type == message_type::forward_cancel &&
+                          cancels >= most_unsent_cancels);
+    if (!is_full) {
+        waiting.push_back({type, std::move(payload), now});
     }
 }
 
@@ -169,11 +195,16 @@
     {
         const auto lock = std::lock_guard(links_mutex_);
         const auto proxy = proxy_id(link.peer.who.name);
-        proxy_links_[proxy] = link.id;
+        proxy_links_[proxy] = {link.id, link.version};
         waiting = std::exchange(unsent_[proxy], {});
     }
+    const auto now = steady_now();
     for (const auto& message : waiting) {
-        links_->send(link.id, message.type, message.payload);
+        if (now - message.queued_at < unsent_lifetime &&
+            is_in_version(message.type, link.version))
+        {
+            links_->send(link.id, message.type, message.payload);
+        }
     }
     entry_->on_link_up();
 }
@@ -187,7 +218,7 @@
     {
         const auto lock = std::lock_guard(links_mutex_);
         const auto found = proxy_links_.find(proxy_id(link.peer.who.name));
-        if (found != proxy_links_.end() && found->second == link.id) {
+        if (found != proxy_links_.end() && found->second.id == link.id) {
             proxy_links_.erase(found);
         }
     }
@@ -235,6 +266,10 @@
             },
             static_cast<const cancel_request*>(nullptr));
         break;
+    case message_type::forward_cancel:
+        with([&](const forward_cancel& message) { on_forward_cancel(message); },
+             static_cast<const forward_cancel*>(nullptr));
+        break;
     case message_type::position_query:
         with(
             [&](const position_query& message) {
@@ -272,6 +307,24 @@
     }
 }
 
+auto proxy_node::pass_on_cancel(const backend_key& key) -> void
+{
+    const auto view = control_->view();
+    const auto message = encode(forward_cancel{key.process, key.secret});
+    for (const auto& proxy : cancel_key_holders(*view, self_.id, key.process)) {
+        send_when_linked(proxy, message_type::forward_cancel, message);
+    }
+}
+
+auto proxy_node::on_forward_cancel(const forward_cancel& message) -> void
+{
+    const auto session =
+        callers_->find_session({message.process, message.secret});
+    if (session) {
+        entry_->on_cancel(*session);
+    }
+}
+
 auto proxy_node::on_execute(const link_info& link, execute_request request)
     -> void
 {
--- a/tests/protocol/internal_messages_test.cpp
+++ b/tests/protocol/internal_messages_test.cpp
@@ -71,6 +71,10 @@
         CHECK_FALSE(decode<execute_request>(bytes.substr(0, size)));
     }
     CHECK_FALSE(decode<execute_request>(bytes + '\0'));
+    const auto key = encode(forward_cancel{1, 2});
+    CHECK(decode<forward_cancel>(key)->secret == 2);
+    CHECK_FALSE(decode<forward_cancel>(key.substr(1)));
+    CHECK_FALSE(decode<forward_cancel>(key + '\0'));
 }
 
 TEST_CASE("values outside an enumeration are refused")
--- a/tests/protocol/link_handshake_test.cpp
+++ b/tests/protocol/link_handshake_test.cpp
@@ -85,6 +85,11 @@
     run(old, recent);
     CHECK(old.fault() == handshake_fault::no_common_version);
     CHECK(recent.fault() == handshake_fault::no_common_version);
+    // A peer of the first version closes the link on a type that it does not
+    // know.
+    CHECK(is_in_version(message_type::cancel, 1));
+    CHECK_FALSE(is_in_version(message_type::forward_cancel, 1));
+    CHECK(is_in_version(message_type::forward_cancel, 2));
 }
 
 TEST_CASE("a recorded link cannot be replayed to either end")
