--- a/include/rhubarbrun/protocol/link_handshake.hpp
+++ b/include/rhubarbrun/protocol/link_handshake.hpp
@@ -20,12 +20,27 @@
     std::uint8_t highest = 1;
 };
 
-/// Versions that this build speaks.
+/// Versions that this build speaks. Version 2 adds `forward_cancel`, the
+/// agreement to close an idle link, and the count of live proxies in
+/// `lease_answer`.
 inline constexpr auto supported_versions = version_range{1, 2};
 
-/// First version in which an idle link is closed by agreement; a process of
-/// an earlier version would take the request for a fault of its peer.
-inline constexpr auto idle_close_version = std::uint8_t{2};
+/// Whether a peer that speaks `version` knows messages of this type. One that
+/// does not closes the link.
+[[nodiscard]] constexpr auto is_in_version(message_type type,
+                                           std::uint8_t version) noexcept
+    -> bool
+{
+    switch (type) {
+    case message_type::close_request:
+    case message_type::close_accept:
+    case message_type::close_revoke:
+    case message_type::forward_cancel:
+        return version >= 2;
+    default:
+        return true;
+    }
+}
 
 /// Which end of a link this is.
 enum class link_side : std::uint8_t
--- a/include/rhubarbrun/transport/peer_links.hpp
+++ b/include/rhubarbrun/transport/peer_links.hpp
@@ -96,9 +96,10 @@
     /// Ends what `connect` started and closes that link.
     auto forget(const peer_name& peer) -> void;
 
-    /// Queues a message; returns false if the link is down, the payload
-    /// exceeds `frame_layout::max_payload`, or the queue is full, which also
-    /// closes the link. True does not mean that it arrives.
+    /// Queues a message; returns false if the link is down, the peer's version
+    /// of the protocol lacks the message, the payload exceeds
+    /// `frame_layout::max_payload`, or the queue is full, which also closes the
+    /// link. True does not mean that it arrives.
     auto send(link_id link, message_type type, std::string_view payload)
         -> bool;
 
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -72,7 +72,9 @@
         const auto lock = std::lock_guard(queue_mutex_);
         const auto is_heartbeat = type == message_type::heartbeat;
         const auto is_left = closing_ == close_stage::accepted && !is_heartbeat;
-        if (is_queue_closed_ || !writer_ || is_left) {
+        if (is_queue_closed_ || !writer_ || is_left ||
+            !is_in_version(type, info_.version))
+        {
             return false;
         }
         if (queued_bytes_ + payload.size() <= limits_.send_queue) {
@@ -259,9 +261,10 @@
 
 auto peer_connection::ask_to_close_if_idle(clock::time_point now) -> void
 {
-    const auto may_ask = is_up_ && info_.is_outgoing && events_.is_busy &&
-                         info_.version >= idle_close_version &&
-                         info_.peer.who.role == peer_role::proxy;
+    const auto may_ask =
+        is_up_ && info_.is_outgoing && events_.is_busy &&
+        is_in_version(message_type::close_request, info_.version) &&
+        info_.peer.who.role == peer_role::proxy;
     if (!may_ask) {
         return;
     }
