bench: measure the write gap in virtual time

The report carries median, 99th percentile and worst, and write_gap.svg. The network stand-in takes its delays from a hook. The proxy stand-in left a member that had just registered it, because its last lease answer came from the former leader; with 20 ms between regions it never got past that. It now waits for the first answer and uses the times of control_client.

--- a/bench/experiment.hpp
+++ b/bench/experiment.hpp
@@ -11,7 +11,7 @@
 /// Sub-command `experiment [--name=NAME] [--seed=N] [--report=DIRECTORY]`.
 ///
 /// Prints `name=value` for each figure; with `--report` also writes
-/// measures.md, measures.json and goodput.svg. Returns the exit code.
+/// measures.md, measures.json and the plots. Returns the exit code.
 auto run_experiments(int count, char** arguments) -> int;
 
 /// Share of reads served by replicas, and stale reads, which must not occur.
@@ -34,6 +34,11 @@
 auto measure_load_classes(const deployment& place, std::uint64_t seed,
                           report& results) -> void;
 
+/// Time without acknowledged writes after failures of the primary, its owner
+/// and the control leader.
+auto measure_write_gap(const deployment& place, std::uint64_t seed,
+                       report& results) -> void;
+
 } // namespace rhubarbrun::bench
 
 #endif
--- a/bench/experiment_report.cpp
+++ b/bench/experiment_report.cpp
@@ -1,18 +1,21 @@
 #include "experiment_report.hpp"
 
+#include "experiment_svg.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <cstddef>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <functional>
 #include <stdexcept>
 #include <utility>
 
 namespace rhubarbrun::bench {
 
+using svg::format;
+using svg::write_segment;
+using svg::write_text;
+
 namespace {
 
 constexpr auto panel_width = 420.0;
@@ -26,14 +29,6 @@
 constexpr auto colours =
     std::array<std::string_view, 4>{"#1b6ca8", "#c0392b", "#7f8c8d", "#27ae60"};
 
-auto format(double value) -> std::string
-{
-    auto buffer = std::array<char, 32>{};
-    const auto length =
-        std::snprintf(buffer.data(), buffer.size(), "%.4g", value);
-    return {buffer.data(), static_cast<std::size_t>(length)};
-}
-
 auto x_of(double demand, double left) -> double
 {
     return left + plot_left + (plot_width * demand / most_demand);
@@ -45,36 +40,6 @@
     return plot_top + (plot_height * (1 - (shown / most_goodput)));
 }
 
-auto write_text(std::ostream& out, double x, double y, const std::string& text)
-    -> void
-{
-    out << "<text x=\"" << format(x) << "\" y=\"" << format(y) << "\">" << text
-        << "</text>\n";
-}
-
-auto write_segment(std::ostream& out, std::pair<double, double> from,
-                   std::pair<double, double> to, std::string_view colour)
-    -> void
-{
-    out << "<line x1=\"" << format(from.first) << "\" y1=\""
-        << format(from.second) << "\" x2=\"" << format(to.first) << "\" y2=\""
-        << format(to.second) << "\" stroke=\"" << colour << "\"/>\n";
-}
-
-template <class Items, class Projection>
-auto distinct(const Items& items, const Projection& projection)
-    -> std::vector<std::string>
-{
-    auto names = std::vector<std::string>{};
-    for (const auto& each : items) {
-        const auto& name = std::invoke(projection, each);
-        if (std::find(names.begin(), names.end(), name) == names.end()) {
-            names.push_back(name);
-        }
-    }
-    return names;
-}
-
 } // namespace
 
 auto report::add(figure result) -> void
@@ -87,6 +52,11 @@
     points_.push_back(std::move(point));
 }
 
+auto report::add(gap_distribution distribution) -> void
+{
+    gaps_.push_back(std::move(distribution));
+}
+
 auto report::print(std::ostream& out) const -> void
 {
     for (const auto& each : figures_) {
@@ -102,12 +72,19 @@
 auto report::write(const std::string& directory) const -> void
 {
     using writer = void (report::*)(std::ostream&) const;
-    const auto files = std::array<std::pair<const char*, writer>, 3>{
+    const auto files = std::array<std::pair<const char*, writer>, 4>{
         {{"measures.md", &report::write_markdown},
          {"measures.json", &report::write_json},
-         {"goodput.svg", &report::write_plot}}};
+         {"goodput.svg", &report::write_plot},
+         {"write_gap.svg", &report::write_gaps}}};
     std::filesystem::create_directories(directory);
     for (const auto& [name, write_file] : files) {
+        const auto has_no_content =
+            (write_file == &report::write_plot && points_.empty()) ||
+            (write_file == &report::write_gaps && gaps_.empty());
+        if (has_no_content) {
+            continue;
+        }
         const auto path = std::filesystem::path(directory) / name;
         auto out = std::ofstream(path);
         (this->*write_file)(out);
@@ -156,18 +133,20 @@
 
 auto report::write_plot(std::ostream& out) const -> void
 {
-    const auto panels = distinct(points_, &goodput_point::deployment);
-    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\""
-        << format(panel_width * static_cast<double>(panels.size()))
-        << "\" height=\"" << format(picture_height)
-        << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
-        << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
+    const auto panels = svg::distinct(points_, &goodput_point::deployment);
+    svg::open(out, panel_width * static_cast<double>(panels.size()),
+              picture_height);
     auto left = 0.0;
     for (const auto& panel : panels) {
         write_panel(out, panel, left);
         left += panel_width;
     }
-    out << "</svg>\n";
+    svg::close(out);
+}
+
+auto report::write_gaps(std::ostream& out) const -> void
+{
+    write_gap_plot(out, gaps_);
 }
 
 auto report::write_panel(std::ostream& out, const std::string& deployment,
@@ -195,7 +174,7 @@
         write_segment(out, {x_of(0, left), y_of(goodput)},
                       {x_of(most_demand, left), y_of(goodput)}, "#dddddd");
     }
-    const auto policies = distinct(points_, &goodput_point::policy);
+    const auto policies = svg::distinct(points_, &goodput_point::policy);
     for (auto index = std::size_t{0}; index < policies.size(); ++index) {
         write_line(out, deployment, policies.at(index), index, left);
     }
--- a/bench/experiment_report.hpp
+++ b/bench/experiment_report.hpp
@@ -1,6 +1,8 @@
 #ifndef RHUBARBRUN_BENCH_EXPERIMENT_REPORT_HPP
 #define RHUBARBRUN_BENCH_EXPERIMENT_REPORT_HPP
 
+#include "experiment_gap_plot.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <ostream>
@@ -40,19 +42,22 @@
 
     auto add(figure result) -> void;
     auto add(goodput_point point) -> void;
+    auto add(gap_distribution distribution) -> void;
 
     /// One line `deployment.name=value` for each figure, followed by
     /// `deployment.name.baseline_name=value`.
     auto print(std::ostream& out) const -> void;
 
-    /// Writes measures.md, measures.json and goodput.svg; throws
-    /// `std::runtime_error` if a file cannot be written.
+    /// Writes measures.md, measures.json and, if there are points for them,
+    /// goodput.svg and write_gap.svg; throws `std::runtime_error` if a file
+    /// cannot be written.
     auto write(const std::string& directory) const -> void;
 
 private:
     auto write_markdown(std::ostream& out) const -> void;
     auto write_json(std::ostream& out) const -> void;
     auto write_plot(std::ostream& out) const -> void;
+    auto write_gaps(std::ostream& out) const -> void;
     auto write_panel(std::ostream& out, const std::string& deployment,
                      double left) const -> void;
     auto write_line(std::ostream& out, const std::string& deployment,
@@ -62,6 +67,7 @@
     std::uint64_t seed_;
     std::vector<figure> figures_;
     std::vector<goodput_point> points_;
+    std::vector<gap_distribution> gaps_;
 };
 
 } // namespace rhubarbrun::bench
--- a/tests/coordination/scenario_checks.cpp
+++ b/tests/coordination/scenario_checks.cpp
@@ -399,14 +399,7 @@
         return;
     }
     for (const auto& name : deployment_.groups) {
-        auto last = *load_from_;
-        auto longest = duration{};
-        for (const auto when : write_times_[group_id(name)]) {
-            longest = std::max(longest, when - last);
-            last = std::max(last, when);
-        }
-        longest =
-            std::max(longest, std::min(network_.now(), load_until_) - last);
+        const auto longest = longest_write_gap(name);
         require(longest <= std::chrono::milliseconds(step.number("most_ms")),
                 step,
                 "in " + name + " it was " +
@@ -414,6 +407,24 @@
     }
 }
 
+auto scenario_runner::longest_write_gap(const std::string& group) const
+    -> duration
+{
+    if (!load_from_) {
+        return {};
+    }
+    auto last = *load_from_;
+    auto longest = duration{};
+    const auto found = write_times_.find(group_id(group));
+    if (found != write_times_.end()) {
+        for (const auto when : found->second) {
+            longest = std::max(longest, when - last);
+            last = std::max(last, when);
+        }
+    }
+    return std::max(longest, std::min(network_.now(), load_until_) - last);
+}
+
 auto scenario_runner::check_answered_share(const scenario_step& step) -> void
 {
     const auto since =
--- a/tests/coordination/scenario_network.cpp
+++ b/tests/coordination/scenario_network.cpp
@@ -153,7 +153,9 @@
 auto scenario_network::delay(const std::string& from, const std::string& to)
     -> duration
 {
-    const auto base = zone_of(from) == zone_of(to) ? near_delay : far_delay;
+    const auto base = least_delay                    ? least_delay(from, to)
+                      : zone_of(from) == zone_of(to) ? near_delay
+                                                     : far_delay;
     return base + duration(static_cast<std::int64_t>(
                       random() % static_cast<std::uint64_t>(base.count())));
 }
--- a/tests/coordination/scenario_network.hpp
+++ b/tests/coordination/scenario_network.hpp
@@ -79,6 +79,11 @@
 
     auto run_until(time_point end) -> void;
 
+    /// One-way delay between two processes, without the random part, which adds
+    /// up to as much again; empty for the default.
+    std::function<duration(const std::string& from, const std::string& to)>
+        least_delay;
+
     /// Datagrams lost, in percent.
     unsigned loss = 1;
 
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -354,11 +354,18 @@
         failover_.reset();
     } else if (failover_) {
         carry_out(failover_->tick(now()));
-    } else if (detector_.has_failed(now())) {
+    } else if (detector_.has_failed(now()) && may_start_failover()) {
         start_failover();
     }
 }
 
+auto scenario_owner::may_start_failover() const -> bool
+{
+    return !hooks_.may_start_failover ||
+           hooks_.may_start_failover(
+               state_ ? std::optional(state_asked_at_) : std::nullopt, now());
+}
+
 auto scenario_owner::start_failover() -> void
 {
     auto group = failover_group{};
--- a/tests/coordination/scenario_owner.hpp
+++ b/tests/coordination/scenario_owner.hpp
@@ -92,6 +92,11 @@
     std::uint32_t load = 0;
 };
 
+/// Whether the owner of a failed primary may start to replace it, by the time
+/// of the last probe that the primary answered, if there was one.
+using failover_start_rule =
+    std::function<bool(std::optional<time_point> answered, time_point now)>;
+
 struct scenario_owner_hooks
 {
     std::function<bool()> holds_lease;
@@ -100,6 +105,8 @@
     std::function<void(const proxy_id&, const target_id&)> ask_confirmation;
     std::function<void(const set_primary_command&)> propose_primary;
     std::function<void(const target_id&, owner_epoch)> release;
+    /// Asked in addition to the failure detector; empty to follow that alone.
+    failover_start_rule may_start_failover;
     /// The owner acknowledges a write of `ran_in` now.
     std::function<void(const group_id&, term ran_in, owner_epoch)>
         on_acknowledged;
@@ -180,6 +187,7 @@
     auto prepare_primary() -> void;
     auto leave_role() -> void;
     auto check_primary() -> void;
+    [[nodiscard]] auto may_start_failover() const -> bool;
     auto start_failover() -> void;
     auto carry_out(const std::vector<failover_action>& actions) -> void;
     auto read_status_of(const target_id& target) -> void;
--- a/tests/coordination/scenario_proxy.hpp
+++ b/tests/coordination/scenario_proxy.hpp
@@ -48,6 +48,8 @@
     std::function<scenario_control*(const std::string&)> control;
     std::function<scenario_proxy*(const std::string&)> proxy;
     std::function<scenario_server&(const target_id&)> server;
+    /// See `scenario_owner_hooks::may_start_failover`.
+    failover_start_rule may_start_failover;
     std::function<void(const group_id&, term, owner_epoch)> on_acknowledged;
     /// The directory copy went to this bundle.
     std::function<void(const std::string&, bundle_version)> on_bundle;
--- a/tests/coordination/scenario_proxy_control.cpp
+++ b/tests/coordination/scenario_proxy_control.cpp
@@ -10,9 +10,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto repeat_interval = duration(500ms);
-/// A member that does not answer for this long is left for the next one.
-constexpr auto member_limit = duration(1s);
+// The times of control_client.
+constexpr auto repeat_interval = duration(250ms);
+/// A member that does not register the proxy for this long is left for the
+/// next one.
+constexpr auto member_limit = duration(600ms);
 constexpr auto ping_interval = duration(250ms);
 constexpr auto link_silence_limit = duration(1s);
 /// Time for a connection attempt when another proxy asks for it.
@@ -129,7 +131,11 @@
         next_drain_ = now() + repeat_interval;
         send_command(drain_proxy_command{self_}, [](const control_answer&) {});
     }
-    if (!lease_->has_contact(now(), member_limit)) {
+    // The first answer of a member that has just registered the proxy is still
+    // on its way.
+    const auto is_silent = now() - member_since_ >= link_silence_limit &&
+                           !lease_->has_contact(now(), link_silence_limit);
+    if (is_silent) {
         choose_member((member_ + 1) % members_.size());
     }
 }
@@ -191,6 +197,7 @@
                  [this](const control_answer& answer) {
                      if (answer.result.is_ok() && !is_registered_) {
                          is_registered_ = true;
+                         member_since_ = now();
                          pull_directory();
                          send_renewal();
                      }
@@ -301,6 +308,7 @@
         send_command(release_target_command{released, self_, epoch},
                      [](const control_answer&) {});
     };
+    hooks.may_start_failover = hooks_.may_start_failover;
     hooks.on_acknowledged = hooks_.on_acknowledged;
     return std::make_shared<scenario_owner>(*network_, self_, target,
                                             std::move(hooks), fault_);
--- a/tests/coordination/scenario_runner.cpp
+++ b/tests/coordination/scenario_runner.cpp
@@ -19,11 +19,12 @@
 } // namespace
 
 scenario_runner::scenario_runner(scenario_deployment deployment,
-                                 scenario_fault fault)
+                                 scenario_fault fault, scenario_policy policy)
     : deployment_(std::move(deployment)),
       fault_(fault),
       network_(deployment_.seed)
 {
+    network_.least_delay = std::move(policy.least_delay);
     auto members = std::vector<std::string>{};
     auto ids = std::vector<member_id>{};
     for (auto index = std::int64_t{0}; index < deployment_.control; ++index) {
@@ -73,6 +74,7 @@
         hooks.server = [this](const target_id& id) -> scenario_server& {
             return *servers_.at(id.value());
         };
+        hooks.may_start_failover = policy.may_start_failover;
         hooks.on_acknowledged = [this](const group_id& group, term ran_in,
                                        owner_epoch epoch) {
             on_acknowledged(group, ran_in, epoch);
@@ -198,6 +200,31 @@
     return nullptr;
 }
 
+auto scenario_runner::leader_name() const -> std::string
+{
+    const auto* const control = leader();
+    for (const auto& [name, each] : controls_) {
+        if (each.get() == control) {
+            return name;
+        }
+    }
+    return "";
+}
+
+auto scenario_runner::primary_of(const std::string& group) const -> std::string
+{
+    const auto* const record = truth().find_group(group_id(group));
+    return record != nullptr && record->primary
+               ? record->primary->target.value()
+               : "";
+}
+
+auto scenario_runner::owner_of(const std::string& server) const -> std::string
+{
+    const auto* const record = truth().find_target(target_id(server));
+    return record != nullptr && record->owner ? record->owner->id.value() : "";
+}
+
 auto scenario_runner::make_bundle(std::int64_t version,
                                   std::int64_t flavour) const -> bundle
 {
--- a/tests/coordination/scenario_runner.hpp
+++ b/tests/coordination/scenario_runner.hpp
@@ -17,11 +17,22 @@
 
 namespace rhubarbrun::tests {
 
+/// What an experiment replaces in a scenario; empty functions change nothing.
+struct scenario_policy
+{
+    /// See `scenario_network::least_delay`.
+    std::function<duration(const std::string& from, const std::string& to)>
+        least_delay;
+    /// See `scenario_owner_hooks::may_start_failover`.
+    failover_start_rule may_start_failover;
+};
+
 class scenario_runner
 {
 public:
     explicit scenario_runner(scenario_deployment deployment,
-                             scenario_fault fault = scenario_fault::none);
+                             scenario_fault fault = scenario_fault::none,
+                             scenario_policy policy = {});
     scenario_runner(const scenario_runner&) = delete;
     auto operator=(const scenario_runner&) -> scenario_runner& = delete;
 
@@ -34,6 +45,17 @@
     /// Checks what must hold at the end.
     auto check_end() -> void;
 
+    /// Name of the group's primary, of the proxy that owns a server, and of
+    /// the control leader; empty if there is none.
+    [[nodiscard]] auto primary_of(const std::string& group) const
+        -> std::string;
+    [[nodiscard]] auto owner_of(const std::string& server) const -> std::string;
+    [[nodiscard]] auto leader_name() const -> std::string;
+    /// Longest time without an acknowledged write while there was a load of
+    /// writes.
+    [[nodiscard]] auto longest_write_gap(const std::string& group) const
+        -> duration;
+
     /// Broken expectations and invariants; empty if all held.
     [[nodiscard]] auto failures() const -> std::vector<std::string>;
 
