transport: apply a directory delta at the cost of what changed

Cause: Nothing showed whether a tick costs what changed or what exists, and a proxy copied its whole directory at each delta. The control client keeps its views in directory_copies: a view that no thread reads any more gets the deltas that it lacks and becomes the next one.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "cost_main.hpp"
 #include "experiment.hpp"
 #include "idle_main.hpp"
 #include "load_main.hpp"
@@ -21,6 +22,8 @@
 };
 
 constexpr auto sub_commands = std::array{
+    sub_command{"cost", run_cost,
+                "run one decision many times, to count its instructions"},
     sub_command{"experiment", rhubarbrun::bench::run_experiments,
                 "measure the decisions of the data path in virtual time"},
     sub_command{"idle", run_idle, "hold idle sessions open at one proxy"},
--- a/include/rhubarbrun/transport/control_client.hpp
+++ b/include/rhubarbrun/transport/control_client.hpp
@@ -7,6 +7,7 @@
 #include <rhubarbrun/state/directory.hpp>
 #include <rhubarbrun/transport/asio.hpp>
 #include <rhubarbrun/transport/datagrams.hpp>
+#include <rhubarbrun/transport/directory_copies.hpp>
 #include <rhubarbrun/transport/owned_target.hpp>
 #include <rhubarbrun/transport/peer_links.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
@@ -140,6 +141,7 @@
     int unanswered_renewals_ = 0;
     std::uint64_t last_request_ = 0;
     std::map<std::uint64_t, command_handler> commands_;
+    directory_copies directories_;
 
     mutable ranked_mutex announcements_mutex_{lock_rank::announcements};
     target_announcements announcements_;
--- a/include/rhubarbrun/transport/ranked_mutex.hpp
+++ b/include/rhubarbrun/transport/ranked_mutex.hpp
@@ -20,6 +20,8 @@
     control = 8,
     directory = 9,
     metrics = 10,
+    /// Taken when a view of the directory is dropped, under any other lock.
+    retired_directories = 11,
 };
 
 /// A mutex with a rank; the order is checked if the library was built with
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -45,7 +45,7 @@
       hooks_(std::move(hooks)),
       announcements_(options_.self.identity),
       lease_(options_.self.identity, hooks_.now()),
-      view_(std::make_shared<const directory>())
+      view_(directories_.newest())
 {
 }
 
@@ -379,9 +379,7 @@
 
 auto control_client::on_delta(const directory_delta& delta) -> void
 {
-    // The copy is changed apart from its readers and then put in its place.
-    auto changed = std::make_shared<directory>(*view());
-    const auto outcome = changed->apply(delta);
+    const auto outcome = directories_.apply(delta);
     if (outcome == delta_outcome::gap) {
         pull_directory(hooks_.now());
     }
@@ -392,15 +390,17 @@
     if (outcome != delta_outcome::applied) {
         return;
     }
+    const auto changed = directories_.newest();
     const auto version =
         changed->bundle() ? changed->bundle()->version : bundle_version(0);
-    const auto former = view();
-    const auto is_new_bundle =
-        !former->bundle() || former->bundle()->version != version;
+    auto former = changed;
     {
         const auto lock = std::lock_guard(directory_mutex_);
-        view_ = changed;
+        former.swap(view_);
     }
+    const auto is_new_bundle =
+        !former->bundle() || former->bundle()->version != version;
+    former.reset();
     if (is_new_bundle) {
         log_event("bundle_in_force").field("version", version);
     }
