transport: stop a proxy whose name another process has taken

The older one registered again each time, got a refusal that it did not read, and every attempt became an entry of the log. Dumps print incarnations as text, as large ones came out negative.

--- a/include/rhubarbrun/transport/control_client.hpp
+++ b/include/rhubarbrun/transport/control_client.hpp
@@ -140,6 +140,8 @@
     /// Renewals since the last answer; the link is used after a few.
     int unanswered_renewals_ = 0;
     std::uint64_t last_request_ = 0;
+    /// Number of the last registration.
+    std::uint64_t registration_ = 0;
     std::map<std::uint64_t, command_handler> commands_;
     directory_copies directories_;
 
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -297,6 +297,7 @@
     next_registration_ = hooks_.now() + repeat_interval;
     auto message = register_proxy{};
     message.request = ++last_request_;
+    registration_ = message.request;
     message.proxy = options_.self;
     message.directory_index = view()->index();
     send(message_type::register_proxy, message);
@@ -409,6 +410,14 @@
 
 auto control_client::on_command_answer(const command_answer& answer) -> void
 {
+    const auto is_superseded =
+        answer.request == registration_ &&
+        answer.outcome == command_outcome::applied &&
+        answer.result.status == command_status::stale_incarnation;
+    if (is_superseded) {
+        hooks_.on_superseded();
+        return;
+    }
     const auto found = commands_.find(answer.request);
     if (found == commands_.end()) {
         return;
--- a/src/transport/control_node_http.cpp
+++ b/src/transport/control_node_http.cpp
@@ -442,9 +442,10 @@
     }
     auto links = json_array();
     for (const auto& link : links_.links()) {
-        links.emplace_back(json_object{{"peer", to_text(link.peer.who)},
-                                       {"incarnation", link.peer.run.value()},
-                                       {"remote", to_text(link.remote)}});
+        links.emplace_back(
+            json_object{{"peer", to_text(link.peer.who)},
+                        {"incarnation", std::to_string(link.peer.run.value())},
+                        {"remote", to_text(link.remote)}});
     }
     auto operators = json_array();
     for (const auto& each : state_.operators()) {
--- a/src/transport/control_node_proxies.cpp
+++ b/src/transport/control_node_proxies.cpp
@@ -121,6 +121,13 @@
         answer(link.id, message.request, command_outcome::forbidden, {});
         return;
     }
+    if (state_.is_superseded(message.proxy.identity)) {
+        // Two processes that run under one name must not fill the log.
+        auto refusal = command_result{};
+        refusal.status = command_status::stale_incarnation;
+        answer(link.id, message.request, command_outcome::applied, refusal);
+        return;
+    }
     const auto* const known = state_.find_proxy(message.proxy.identity.id);
     if (known != nullptr && *known == message.proxy) {
         subscribe(link, message);
