--- a/bench/target_server.hpp
+++ b/bench/target_server.hpp
@@ -1,7 +1,7 @@
 #ifndef RHUBARBRUN_BENCH_TARGET_SERVER_HPP
 #define RHUBARBRUN_BENCH_TARGET_SERVER_HPP
 
-#include "target_store.hpp"
+#include "target_engine.hpp"
 
 #include <rhubarbrun/transport/asio.hpp>
 
