--- a/include/rhubarbrun/transport/control_client.hpp
+++ b/include/rhubarbrun/transport/control_client.hpp
@@ -7,6 +7,7 @@
 #include <rhubarbrun/state/directory.hpp>
 #include <rhubarbrun/transport/asio.hpp>
 #include <rhubarbrun/transport/datagrams.hpp>
+#include <rhubarbrun/transport/directory_copies.hpp>
 #include <rhubarbrun/transport/owned_target.hpp>
 #include <rhubarbrun/transport/peer_links.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
@@ -142,7 +143,10 @@
     /// Renewals since the last answer; the link is used after a few.
     int unanswered_renewals_ = 0;
     std::uint64_t last_request_ = 0;
+    /// Number of the last registration.
+    std::uint64_t registration_ = 0;
     std::map<std::uint64_t, command_handler> commands_;
+    directory_copies directories_;
 
     mutable ranked_mutex announcements_mutex_{lock_rank::announcements};
     target_announcements announcements_;
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -45,7 +45,7 @@
       hooks_(std::move(hooks)),
       announcements_(options_.self.identity),
       lease_(options_.self.identity, hooks_.now()),
-      view_(std::make_shared<const directory>())
+      view_(directories_.newest())
 {
 }
 
@@ -304,6 +304,7 @@
     next_registration_ = hooks_.now() + repeat_interval;
     auto message = register_proxy{};
     message.request = ++last_request_;
+    registration_ = message.request;
     message.proxy = options_.self;
     message.directory_index = view()->index();
     send(message_type::register_proxy, message);
@@ -386,9 +387,7 @@
 
 auto control_client::on_delta(const directory_delta& delta) -> void
 {
-    // The copy is changed apart from its readers and then put in its place.
-    auto changed = std::make_shared<directory>(*view());
-    const auto outcome = changed->apply(delta);
+    const auto outcome = directories_.apply(delta);
     if (outcome == delta_outcome::gap) {
         pull_directory(hooks_.now());
     }
@@ -399,15 +398,17 @@
     if (outcome != delta_outcome::applied) {
         return;
     }
+    const auto changed = directories_.newest();
     const auto version =
         changed->bundle() ? changed->bundle()->version : bundle_version(0);
-    const auto former = view();
-    const auto is_new_bundle =
-        !former->bundle() || former->bundle()->version != version;
+    auto former = changed;
     {
         const auto lock = std::lock_guard(directory_mutex_);
-        view_ = changed;
+        former.swap(view_);
     }
+    const auto is_new_bundle =
+        !former->bundle() || former->bundle()->version != version;
+    former.reset();
     if (is_new_bundle) {
         log_event("bundle_in_force").field("version", version);
     }
@@ -416,6 +417,14 @@
 
 auto control_client::on_command_answer(const command_answer& answer) -> void
 {
+    const auto is_superseded =
+        answer.request == registration_ &&
+        answer.outcome == command_outcome::applied &&
+        answer.result.status == command_status::stale_incarnation;
+    if (is_superseded) {
+        hooks_.on_superseded();
+        return;
+    }
     const auto found = commands_.find(answer.request);
     if (found == commands_.end()) {
         return;
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -356,7 +356,7 @@
     } else if (failover_) {
         failover_->set_live_others(hooks_.live_others());
         carry_out(failover_->tick(now()));
-    } else if (detector_.has_failed(now())) {
+    } else if (detector_.has_failed(now()) && may_start_failover()) {
         failover_ = make_failover(false);
         failover_->set_live_others(hooks_.live_others());
         carry_out(failover_->on_suspected(now(), other_proxies()));
@@ -365,6 +365,13 @@
     }
 }
 
+auto scenario_owner::may_start_failover() const -> bool
+{
+    return !hooks_.may_start_failover ||
+           hooks_.may_start_failover(
+               state_ ? std::optional(state_asked_at_) : std::nullopt, now());
+}
+
 auto scenario_owner::replace_leaving_primary() -> void
 {
     if (!leaving_since_) {
