transport: send the statements of a request key with BEGIN and COMMIT

Cause: A write with a key took five statements, one after another: BEGIN, the record of the key, the write, the update of the record, COMMIT. Each is a round trip to the target, and the slot is held for all of them.

Change: BEGIN and the record go in one query, as do the update and COMMIT. The write is still sent on its own, after the key is known to be new. A BEGIN with a key takes one round trip instead of two; the record's command tag is removed from its answer. Keys and tags become literals that do not depend on standard_conforming_strings.

Measured: In the new test the scripted server receives three statements for a write with a key, and a repeat is answered without running. The stand-in's test of two attempts at once passes with the combined statements.

Conclusion: A key costs two round trips instead of four.

--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -162,10 +162,10 @@
     /// One step of a request with a key.
     enum class keyed_step : std::uint8_t
     {
+        /// Opens the transaction and records the key.
         begin,
-        record,
         run,
-        store_tag,
+        /// Stores the command tag and commits.
         commit,
     };
 
--- a/include/rhubarbrun/transport/target_queries.hpp
+++ b/include/rhubarbrun/transport/target_queries.hpp
@@ -86,17 +86,19 @@
 /// Creates table `rhubarbrun_request` if it does not exist.
 [[nodiscard]] auto create_request_table_query() -> statement;
 
-/// Records `key`; run it before the request, in the same transaction. It
-/// waits for another transaction with the same key to end.
-[[nodiscard]] auto record_request_query(const request_key& key) -> statement;
+/// Opens a transaction with `begin` and records `key` in it, in one round trip;
+/// run it before the request. It waits for another transaction with the same
+/// key to end.
+[[nodiscard]] auto begin_request_query(std::string_view begin,
+                                       const request_key& key) -> statement;
 /// Whether the key is new; false if a request with it has run already.
-[[nodiscard]] auto parse_record_request(std::string_view answer)
+[[nodiscard]] auto parse_begin_request(std::string_view answer)
     -> std::optional<bool>;
 
-/// Adds the command tag to the record of `key`; run it after the request, in
-/// the same transaction.
-[[nodiscard]] auto store_request_tag_query(const request_key& key,
-                                           std::string_view tag) -> statement;
+/// Adds the command tag to the record of `key` and commits, in one round trip;
+/// run it after the request. If the record cannot be written nothing commits.
+[[nodiscard]] auto commit_request_query(const request_key& key,
+                                        std::string_view tag) -> statement;
 
 struct recorded_request
 {
--- a/src/transport/owned_target_keys.cpp
+++ b/src/transport/owned_target_keys.cpp
@@ -34,6 +34,16 @@
     return tag;
 }
 
+/// Removes the CommandComplete with which an encoded answer ends.
+auto remove_last_command(std::string& answer) -> void
+{
+    auto last = std::string{};
+    pg_writer(last).command_complete(last_command_tag(answer));
+    if (answer.ends_with(last)) {
+        answer.resize(answer.size() - last.size());
+    }
+}
+
 auto already_used_error() -> target_result
 {
     auto result = target_result{};
@@ -53,21 +63,17 @@
     auto body = statement{};
     switch (step) {
     case keyed_step::begin:
-        body = request.step == transaction_step::begin ? request.body
-                                                       : simple("BEGIN");
-        break;
-    case keyed_step::record:
-        body = record_request_query(request.key);
+        body = begin_request_query(request.step == transaction_step::begin
+                                       ? request.body.text
+                                       : "BEGIN",
+                                   request.key);
         break;
     case keyed_step::run:
         body = request.body;
         break;
-    case keyed_step::store_tag:
-        body = store_request_tag_query(
-            request.key, last_command_tag(jobs_.at(ticket).answer.answer));
-        break;
     case keyed_step::commit:
-        body = simple("COMMIT");
+        body = commit_request_query(
+            request.key, last_command_tag(jobs_.at(ticket).answer.answer));
         break;
     }
     run_statement(ticket, std::move(body),
@@ -82,13 +88,9 @@
     auto& work = jobs_.at(ticket);
     if (result.error) {
         auto lost = result;
-        const auto was_body_sent =
-            step == keyed_step::store_tag || step == keyed_step::commit;
-        const auto was_body_untouched =
-            step == keyed_step::begin || step == keyed_step::record;
-        if (was_body_sent) {
+        if (step == keyed_step::commit) {
             lost.error->outcome = verdict::may_have_run;
-        } else if (was_body_untouched) {
+        } else if (step == keyed_step::begin) {
             lost.error->outcome = verdict::not_run;
         }
         on_result(ticket, lost);
@@ -101,15 +103,11 @@
     const auto is_transaction = work.request.step == transaction_step::begin;
     switch (step) {
     case keyed_step::begin:
-        work.answer.answer = result.answer;
-        run_keyed(ticket, keyed_step::record);
-        break;
-    case keyed_step::record:
-        if (!parse_record_request(result.answer).value_or(false)) {
+        if (!parse_begin_request(result.answer).value_or(false)) {
             answer_repeat(ticket);
         } else if (is_transaction) {
             auto opened = result;
-            opened.answer = work.answer.answer;
+            remove_last_command(opened.answer);
             on_result(ticket, opened);
         } else {
             run_keyed(ticket, keyed_step::run);
@@ -117,9 +115,6 @@
         break;
     case keyed_step::run:
         work.answer.answer = result.answer;
-        run_keyed(ticket, keyed_step::store_tag);
-        break;
-    case keyed_step::store_tag:
         run_keyed(ticket, keyed_step::commit);
         break;
     case keyed_step::commit: {
--- a/src/transport/target_queries.cpp
+++ b/src/transport/target_queries.cpp
@@ -87,6 +87,16 @@
     return "'" + escape(text, "'", '\'') + "'";
 }
 
+/// A text literal that has one meaning whatever `standard_conforming_strings`
+/// is: text with a backslash is written as an escape string.
+auto quote_text(std::string_view text) -> std::string
+{
+    if (text.find('\\') == std::string_view::npos) {
+        return quote_literal(text);
+    }
+    return "E'" + escape(escape(text, "\\", '\\'), "'", '\'') + "'";
+}
+
 } // namespace
 
 auto server_state_query() -> statement
@@ -239,34 +249,36 @@
                   "recorded_at timestamptz NOT NULL DEFAULT now())");
 }
 
-auto record_request_query(const request_key& key) -> statement
+auto begin_request_query(std::string_view begin, const request_key& key)
+    -> statement
 {
-    return parameterized("INSERT INTO rhubarbrun_request (request_key) "
-                         "VALUES ($1) ON CONFLICT DO NOTHING",
-                         {key.value()});
+    // A comment at the end of the caller's text must not hide the insert.
+    return simple(std::string(begin) +
+                  "\n; INSERT INTO rhubarbrun_request (request_key) VALUES (" +
+                  quote_text(key.value()) + ") ON CONFLICT DO NOTHING");
 }
 
-auto parse_record_request(std::string_view answer) -> std::optional<bool>
+auto parse_begin_request(std::string_view answer) -> std::optional<bool>
 {
     const auto decoded = decode(answer);
-    if (!decoded || decoded->tags.size() != 1) {
+    if (!decoded || decoded->tags.size() < 2) {
         return std::nullopt;
     }
-    if (decoded->tags[0] == "INSERT 0 1") {
+    if (decoded->tags.back() == "INSERT 0 1") {
         return true;
     }
-    if (decoded->tags[0] == "INSERT 0 0") {
+    if (decoded->tags.back() == "INSERT 0 0") {
         return false;
     }
     return std::nullopt;
 }
 
-auto store_request_tag_query(const request_key& key, std::string_view tag)
+auto commit_request_query(const request_key& key, std::string_view tag)
     -> statement
 {
-    return parameterized(
-        "UPDATE rhubarbrun_request SET tag = $1 WHERE request_key = $2",
-        {std::string(tag), key.value()});
+    return simple("UPDATE rhubarbrun_request SET tag = " + quote_text(tag) +
+                  " WHERE request_key = " + quote_text(key.value()) +
+                  "; COMMIT");
 }
 
 auto find_request_query(const request_key& key) -> statement
--- a/tests/transport/owned_target_test.cpp
+++ b/tests/transport/owned_target_test.cpp
@@ -51,12 +51,15 @@
     /// What a new owner is told of the backends of earlier ones.
     older_backends older;
     bool counts_older = true;
+    /// Requests and statements on their keys, in their order.
+    std::vector<std::string> statements;
+    bool has_key = false;
     transaction_status status = transaction_status::idle;
 
     auto respond(const pg_frame& frame) -> fake_response
     {
         if (frame.type == 'P') {
-            parsed = frame.body.substr(1, frame.body.find('\0', 1) - 1);
+            parsed_ = frame.body.substr(1, frame.body.find('\0', 1) - 1);
         }
         if (frame.type == 'S' && !is_silent) {
             return respond_extended();
@@ -74,16 +77,21 @@
             }
             position += 10;
         }
-        if (text == "BEGIN") {
+        if (text.find("rhubarbrun_request") != std::string::npos ||
+            text.starts_with("INSERT"))
+        {
+            statements.push_back(text);
+        }
+        if (text.starts_with("BEGIN")) {
             status = transaction_status::in_transaction;
-        } else if (text == "COMMIT") {
+        } else if (text.ends_with("COMMIT") || text == "ROLLBACK") {
             status = transaction_status::idle;
         }
         result.is_held = text.starts_with("HOLD");
         result.bytes = answer(text);
-        const auto is_own_state = text.starts_with("BEGIN") ||
-                                  text.starts_with("COMMIT") ||
-                                  text.starts_with("INSERT");
+        const auto is_own_state =
+            text.starts_with("BEGIN") || text.starts_with("COMMIT") ||
+            text.starts_with("UPDATE") || text.starts_with("INSERT");
         pg_writer(result.bytes)
             .ready_for_query(is_own_state ? status : transaction_status::idle);
         return result;
@@ -94,16 +102,16 @@
     {
         auto result = fake_response{};
         result.is_held = !counts_older &&
-                         parsed == terminate_older_query(owner_epoch(1)).text;
+                         parsed_ == terminate_older_query(owner_epoch(1)).text;
         auto out = pg_writer(result.bytes);
         out.empty('1');
         out.empty('2');
-        result.bytes += answer(parsed);
+        result.bytes += answer(parsed_);
         pg_writer(result.bytes).ready_for_query(status);
         return result;
     }
 
-    std::string parsed;
+    std::string parsed_;
 
     auto answer(const std::string& text) -> std::string
     {
@@ -131,6 +139,17 @@
             ++timeline;
             return answer_rows({{"t"}}, "SELECT 1");
         }
+        if (text.starts_with("BEGIN\n; INSERT")) {
+            return answer_rows({}, "BEGIN") +
+                   answer_rows({}, std::exchange(has_key, true) ? "INSERT 0 0"
+                                                                : "INSERT 0 1");
+        }
+        if (text.starts_with("UPDATE rhubarbrun_request")) {
+            return answer_rows({}, "UPDATE 1") + answer_rows({}, "COMMIT");
+        }
+        if (text.starts_with("SELECT tag FROM")) {
+            return answer_rows({{"INSERT 0 1"}}, "SELECT 1");
+        }
         if (text.starts_with("ROWS")) {
             return answer_rows({{"0123456789"}}, "SELECT 1");
         }
@@ -147,7 +166,7 @@
     owner_fixture() : owner_fixture(primary_id, scripted_server{}) {}
 
     owner_fixture(target_id current_primary, scripted_server initial)
-        : server(initial),
+        : server(std::move(initial)),
           target(
               context,
               [this](const pg_frame& frame) { return server.respond(frame); }),
@@ -284,6 +303,15 @@
         submit(std::move(request), std::move(text));
     }
 
+    auto submit_keyed(std::string text,
+                      transaction_step step = transaction_step::single) -> void
+    {
+        auto request = execute_request{};
+        request.step = step;
+        request.key = request_key("it's \\ 1");
+        submit(std::move(request), std::move(text));
+    }
+
     auto submit_short_read(std::string text) -> void
     {
         auto request = execute_request{};
@@ -295,7 +323,9 @@
     auto submit(execute_request request, std::string text) -> void
     {
         request.id = request_id(++last_request);
-        request.session = session_id(1);
+        if (request.session == session_id(0)) {
+            request.session = session_id(1);
+        }
         request.target = primary_id;
         request.epoch = epoch;
         request.group_term = group_term;
@@ -702,3 +732,49 @@
         run_until(test.context, [&] { return asked_position().has_value(); }));
     CHECK_FALSE(read_at_floor().error.has_value());
 }
+
+TEST_CASE("a key costs two round trips, and its repeat does not run")
+{
+    auto test = owner_fixture{};
+    test.server.follower_position = 10'000;
+    test.wait_until_serving();
+    test.server.statements.clear();
+    test.submit_keyed("INSERT 1");
+    test.wait_for_replies(1);
+    CHECK_FALSE(test.replies[0].error.has_value());
+    CHECK(decode_answer(test.replies[0].answer).tags ==
+          std::vector<std::string>{"INSERT 0 1"});
+    const auto& sent = test.server.statements;
+    REQUIRE(sent.size() == 3);
+    // The key is one literal, whatever standard_conforming_strings is.
+    CHECK(sent[0].find("(E'it''s \\\\ 1')") != std::string::npos);
+    CHECK(sent[1] == "INSERT 1");
+    CHECK(sent[2].ends_with("; COMMIT"));
+    test.submit_keyed("INSERT 1");
+    test.wait_for_replies(2);
+    CHECK(test.server.writes == 1);
+    CHECK(decode_answer(test.replies[1].answer).tags ==
+          std::vector<std::string>{"INSERT 0 1"});
+}
+
+TEST_CASE("the answer to a transaction's BEGIN does not show the key's record")
+{
+    auto test = owner_fixture{};
+    test.wait_until_serving();
+    test.server.statements.clear();
+    test.submit_keyed("BEGIN", transaction_step::begin);
+    test.wait_for_replies(1);
+    CHECK(test.replies[0].status == transaction_status::in_transaction);
+    CHECK(decode_answer(test.replies[0].answer).tags ==
+          std::vector<std::string>{"BEGIN"});
+    CHECK(test.server.statements.size() == 1);
+    // A second transaction under the key is refused before it does anything.
+    auto request = execute_request{};
+    request.step = transaction_step::begin;
+    request.key = request_key("1");
+    request.session = session_id(2);
+    test.submit(std::move(request), "BEGIN");
+    test.wait_for_replies(2);
+    CHECK(decode_answer(test.replies[1].answer).error.has_value());
+    CHECK(test.replies[1].status == transaction_status::idle);
+}
--- a/tests/transport/stand_in_test.cpp
+++ b/tests/transport/stand_in_test.cpp
@@ -218,15 +218,15 @@
     session first(group.context, *group.primary);
     session second(group.context, *group.primary);
     first.run(create_request_table_query());
-    first.run(query("BEGIN"));
-    second.run(query("BEGIN"));
-    CHECK(parse_record_request(first.run(record_request_query(key)).answer) ==
-          true);
-    second.start(record_request_query(key));
-    first.run(store_request_tag_query(key, "INSERT 0 1"));
+    CHECK(parse_begin_request(
+              first.run(begin_request_query("BEGIN", key)).answer) == true);
+    CHECK(first.result->status == transaction_status::in_transaction);
+    second.start(begin_request_query("BEGIN -- retry", key));
+    first.run(query("SELECT 1"));
     CHECK_FALSE(second.result.has_value());
-    first.run(query("COMMIT"));
-    CHECK(parse_record_request(second.wait().answer) == false);
+    CHECK(first.run(commit_request_query(key, "INSERT 0 1")).status ==
+          transaction_status::idle);
+    CHECK(parse_begin_request(second.wait().answer) == false);
     const auto found =
         parse_find_request(second.run(find_request_query(key)).answer);
     REQUIRE(found.has_value());
@@ -236,11 +236,10 @@
     // An attempt that was rolled back leaves the key free.
     const auto other = request_key("order-2");
     second.run(query("ROLLBACK"));
-    first.run(query("BEGIN"));
-    first.run(record_request_query(other));
+    first.run(begin_request_query("BEGIN", other));
     first.run(query("ROLLBACK"));
-    CHECK(parse_record_request(
-              second.run(record_request_query(other)).answer) == true);
+    CHECK(parse_begin_request(
+              second.run(begin_request_query("BEGIN", other)).answer) == true);
 }
 
 TEST_CASE("an implicit transaction is undone as a whole")
--- a/tests/transport/target_connection_test.cpp
+++ b/tests/transport/target_connection_test.cpp
@@ -348,9 +348,12 @@
         pg_writer(bytes).command_complete(text);
         return bytes;
     };
-    CHECK(parse_record_request(tag("INSERT 0 1")) == true);
-    CHECK(parse_record_request(tag("INSERT 0 0")) == false);
-    CHECK_FALSE(parse_record_request(tag("UPDATE 1")).has_value());
+    const auto begin = tag("BEGIN");
+    CHECK(parse_begin_request(begin + tag("INSERT 0 1")) == true);
+    CHECK(parse_begin_request(begin + tag("INSERT 0 0")) == false);
+    CHECK_FALSE(parse_begin_request(begin + tag("UPDATE 1")).has_value());
+    CHECK_FALSE(parse_begin_request(begin).has_value());
+    CHECK_FALSE(parse_begin_request(tag("INSERT 0 1")).has_value());
     auto error = std::string{};
     pg_writer(error).error("ERROR", "42P01", "missing");
     CHECK_FALSE(parse_find_request(error).has_value());
