--- a/tests/coordination/entry_coordinator_test.cpp
+++ b/tests/coordination/entry_coordinator_test.cpp
@@ -72,7 +72,7 @@
         return *id;
     }
 
-    auto reply(entry_reply message) -> void
+    auto reply(const entry_reply& message) -> void
     {
         todo = coordinator.on_reply(seen(), to_owner, message);
     }
--- a/tests/coordination/pending_requests_test.cpp
+++ b/tests/coordination/pending_requests_test.cpp
@@ -106,7 +106,8 @@
         if (fates_.empty()) {
             return nullptr;
         }
-        return &std::next(fates_.begin(), index % fates_.size())->second;
+        const auto steps = static_cast<std::ptrdiff_t>(index % fates_.size());
+        return &std::next(fates_.begin(), steps)->second;
     }
 
     auto add(std::uint32_t first, std::uint32_t second) -> void
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -82,7 +82,7 @@
         },
         [this, done = std::move(done)](const bool* value, loss) {
             is_role_command_running_ = false;
-            if (value) {
+            if (value != nullptr) {
                 done();
             } else {
                 next_role_command_ = now() + role_retry_interval;
--- a/tests/coordination/scenario_proxy.hpp
+++ b/tests/coordination/scenario_proxy.hpp
@@ -124,7 +124,7 @@
     auto pull_directory() -> void;
     auto send_report() -> void;
     auto send_command(const control_command& command,
-                      scenario_control::answer_function done) -> void;
+                      const scenario_control::answer_function& done) -> void;
     /// Calls `work` at the control member that the proxy registered with.
     auto to_control(std::function<void(scenario_control&)> work) -> void;
     auto update_targets() -> void;
--- a/tests/coordination/scenario_proxy_control.cpp
+++ b/tests/coordination/scenario_proxy_control.cpp
@@ -140,7 +140,7 @@
 }
 
 auto scenario_proxy::send_command(const control_command& command,
-                                  scenario_control::answer_function done)
+                                  const scenario_control::answer_function& done)
     -> void
 {
     const auto link = control_link_;
--- a/tests/coordination/scenario_proxy_entry.cpp
+++ b/tests/coordination/scenario_proxy_entry.cpp
@@ -192,10 +192,11 @@
         link.value(), name_, owner,
         [this, owner, message, link] {
             auto* const peer = hooks_.proxy(owner);
-            peer->on_execute(message, link, [=, this](scenario_reply reply) {
-                network_->send(link.value(), owner, name_,
-                               [=, this] { on_reply(link, reply); });
-            });
+            peer->on_execute(
+                message, link, [=, this](const scenario_reply& reply) {
+                    network_->send(link.value(), owner, name_,
+                                   [=, this] { on_reply(link, reply); });
+                });
         },
         [this, owner, link] { on_link_down(owner, link); });
 }
