transport: test reports, proposals and releases through the node

Cause: target_report, propose_primary and release_target were tested in the state and the coordinator, but not through a control node with links.

Change: control_node_test sends the three messages over links.

With the check of the sender taken out, the first of them fails.

--- a/tests/transport/control_node_test.cpp
+++ b/tests/transport/control_node_test.cpp
@@ -85,6 +85,53 @@
         return *result;
     }
 
+    /// Sends a request and returns the answer to it. A lease that is held is
+    /// renewed, so that a slow answer does not end it.
+    template <class Message>
+    auto ask(message_type type, const Message& message) -> command_answer
+    {
+        if (holds_lease) {
+            renew();
+        }
+        send(type, message);
+        auto answer = wait<command_answer>(message_type::command_answer);
+        CHECK(answer.request == message.request);
+        return answer;
+    }
+
+    auto renew() -> void
+    {
+        send(message_type::renew_lease,
+             lease_request{identity, 1, log_index()});
+        (void)wait<lease_answer>(message_type::lease_grant);
+    }
+
+    /// Renews the lease until `condition` holds.
+    auto hold_lease_until(const std::function<bool()>& condition) -> bool
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        auto is_met = false;
+        while (!is_met && std::chrono::steady_clock::now() < end) {
+            renew();
+            is_met = seen.get(condition);
+            // Pause between two renewals, below the lease of 1.5 s.
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        holds_lease = true;
+        return is_met;
+    }
+
+    /// Reports one target of group g1 in the name of `reporter`.
+    auto report(const proxy_identity& reporter, const char* target) -> void
+    {
+        auto heard = heard_target{};
+        heard.id = target_id(target);
+        heard.description = target_description{
+            heard.id, group_id("g1"), "127.0.0.1", 1, zone_id("z1"), 3, 10};
+        send(message_type::target_report,
+             announcement_report{reporter, {heard}});
+    }
+
     [[nodiscard]] auto registration() const -> register_proxy
     {
         auto message = register_proxy{};
@@ -103,6 +150,7 @@
     std::optional<link_info> up;
     std::map<message_type, std::string> received;
     std::optional<lease_answer> granted;
+    bool holds_lease = false;
     directory copy;
     proxy_identity identity;
     worker_pool pool{1};
@@ -293,3 +341,98 @@
     REQUIRE(metrics.response);
     CHECK(metrics.response->body.find("control_saves ") != std::string::npos);
 }
+
+// Guards against a leader that lets a proxy change what another one owns, or
+// that takes a proposal that was resent or is outdated for a new one.
+TEST_CASE("the leader checks reports, proposals and releases of proxies")
+{
+    auto cluster = control_cluster();
+    cluster.put_in_force(0, 1);
+    const auto leader = cluster.leader(0);
+    auto owner = fake_proxy("p1");
+    auto other = fake_proxy("p2");
+    for (auto* const proxy : {&owner, &other}) {
+        proxy->connect(cluster.addresses()[leader]);
+        proxy->send(message_type::register_proxy, proxy->registration());
+        (void)proxy->wait<registered>(message_type::registered);
+    }
+
+    // The answer to the second message shows that the first was handled.
+    other.report(owner.identity, "t9");
+    CHECK(other.ask(message_type::drain_proxy, drain_proxy{1, owner.identity})
+              .outcome == command_outcome::forbidden);
+    owner.report(owner.identity, "t1");
+    const auto t1 = target_id("t1");
+    REQUIRE(owner.hold_lease_until([&] {
+        const auto* const record = owner.copy.find_target(t1);
+        return record != nullptr && record->owner == owner.identity;
+    }));
+    CHECK(owner.seen.get(
+        [&] { return owner.copy.find_target(target_id("t9")) == nullptr; }));
+    const auto epoch = owner.copy.find_target(t1)->epoch;
+
+    auto claim = propose_primary{};
+    claim.request = 2;
+    claim.command = {group_id("g1"), term(0), t1,
+                     owner.identity, epoch,   term(4)};
+    CHECK(other.ask(message_type::propose_primary, claim).outcome ==
+          command_outcome::forbidden);
+    auto foreign = claim;
+    foreign.command.claimant = other.identity;
+    CHECK(other.ask(message_type::propose_primary, foreign).result.status ==
+          command_status::not_owner);
+    const auto first = owner.ask(message_type::propose_primary, claim);
+    CHECK(first.outcome == command_outcome::applied);
+    CHECK(first.result.is_ok());
+    CHECK(first.result.group_term == term(4));
+    const auto again = owner.ask(message_type::propose_primary, claim);
+    CHECK(again.outcome == command_outcome::applied);
+    CHECK(again.result.is_ok());
+    CHECK(again.result.group_term == first.result.group_term);
+    CHECK(again.result.effective_at == first.result.effective_at);
+    auto stale = claim;
+    stale.command.expected_term = term(2);
+    const auto refused = owner.ask(message_type::propose_primary, stale);
+    CHECK(refused.result.status == command_status::stale_term);
+    CHECK(refused.result.group_term == term(4));
+
+    auto release = release_target{3, {t1, owner.identity, epoch}};
+    CHECK(other.ask(message_type::release_target, release).outcome ==
+          command_outcome::forbidden);
+    auto taken = release;
+    taken.command.owner = other.identity;
+    CHECK(other.ask(message_type::release_target, taken).result.status ==
+          command_status::not_owner);
+    auto late = release;
+    late.command.epoch = epoch.next();
+    CHECK(owner.ask(message_type::release_target, late).result.status ==
+          command_status::stale_epoch);
+    CHECK(owner.ask(message_type::release_target, release).result.is_ok());
+    // The release began another epoch, so it cannot count twice.
+    CHECK(owner.ask(message_type::release_target, release).result.status ==
+          command_status::stale_epoch);
+}
+
+// Guards against a follower that drops or answers what only the leader may.
+TEST_CASE("a follower sends reports, proposals and releases to the leader")
+{
+    auto cluster = control_cluster();
+    const auto leader = cluster.leader(0);
+    auto proxy = fake_proxy("p1");
+    proxy.connect(cluster.addresses()[(leader + 1) % control_cluster::size]);
+    const auto check_redirect = [&](std::uint64_t request) {
+        const auto pointer = proxy.wait<redirect>(message_type::redirect);
+        CHECK(pointer.request == request);
+        CHECK(pointer.leader == control_cluster::name_of(leader));
+    };
+    proxy.report(proxy.identity, "t1");
+    check_redirect(0);
+    auto claim = propose_primary{};
+    claim.request = 2;
+    claim.command.claimant = proxy.identity;
+    proxy.send(message_type::propose_primary, claim);
+    check_redirect(2);
+    proxy.send(message_type::release_target,
+               release_target{3, {target_id("t1"), proxy.identity, {}}});
+    check_redirect(3);
+}
