coordination: search queue and candidates only where something can start

Cause: a profile of the scenario tests showed 28% of the instructions in admission_queue::pick, which searched the whole queue on every arrival and tick although nothing in it could start. A start with 1,620 targets spent 89% in ownership::shares_group, which looked every other server of the group up in every one of 540 candidates.

Change: a class counts its waiting new work by what it needs to start (length, and whether it opens a transaction) and is searched only if some of it may start. The estimate of the wait finds the own queue once instead of comparing names. The owners of the other servers of a group are looked up once per choice.

Conclusion: both costs were in code that serves in production.

--- a/include/rhubarbrun/coordination/admission.hpp
+++ b/include/rhubarbrun/coordination/admission.hpp
@@ -251,9 +251,15 @@
         std::uint32_t running = 0;
     };
 
+    /// Kinds of new work that differ in what they need to start: three
+    /// lengths, each with and without a transaction to open.
+    static constexpr auto start_kinds = std::size_t{6};
+
     struct class_queue
     {
         std::deque<waiting_statement> pinned;
+        /// Waiting new work by kind.
+        std::array<std::size_t, start_kinds> new_waiting{};
         std::map<std::string, database_queue> databases;
         std::size_t waiting = 0;
         /// Expected slot time of all that waits.
@@ -288,6 +294,10 @@
         -> bool;
     [[nodiscard]] auto
     has_connection_for(const admission_request& request) const -> bool;
+    [[nodiscard]] static auto
+    start_kind(const admission_request& request) noexcept -> std::size_t;
+    /// Whether any new work of the class may start.
+    [[nodiscard]] auto has_startable(const class_queue& group) const -> bool;
     [[nodiscard]] auto is_length_allowed(statement_length length) const -> bool;
 
     // Order of service.
--- a/include/rhubarbrun/coordination/ownership.hpp
+++ b/include/rhubarbrun/coordination/ownership.hpp
@@ -128,6 +128,14 @@
     [[nodiscard]] auto rank(time_point now, const target_id& id,
                             const placement& target,
                             const member& candidate) const -> preference;
+    [[nodiscard]] static auto rank(time_point now, const target_id& id,
+                                   const placement& target,
+                                   const member& candidate, bool shares_group)
+        -> preference;
+    /// The owners of the other targets of the group.
+    [[nodiscard]] auto owners_beside(const placement& target,
+                                     const target_id& id) const
+        -> std::vector<const member*>;
     [[nodiscard]] auto choose(time_point now, const target_id& id,
                               const placement& target) const -> const member*;
     [[nodiscard]] auto shares_group(const placement& target,
--- a/src/coordination/admission_estimate.cpp
+++ b/src/coordination/admission_estimate.cpp
@@ -31,11 +31,13 @@
     const auto& group = classes_.at(statement.index);
     const auto& request = statement.request;
     auto own = request.estimate.expected;
+    const caller_queue* own_queue = nullptr;
     const auto database = group.databases.find(request.database);
     if (database != group.databases.end()) {
         const auto caller = database->second.callers.find(request.caller);
         if (caller != database->second.callers.end()) {
-            own += caller->second.work;
+            own_queue = &caller->second;
+            own += own_queue->work;
         }
     }
     auto ahead = own - request.estimate.expected;
@@ -44,7 +46,7 @@
     }
     for (const auto& [name, other_database] : group.databases) {
         for (const auto& [key, other] : other_database.callers) {
-            if (name != request.database || key != request.caller) {
+            if (&other != own_queue) {
                 ahead += std::min(other.work, own);
             }
         }
--- a/src/coordination/admission_order.cpp
+++ b/src/coordination/admission_order.cpp
@@ -80,6 +80,32 @@
     return transactions_.size() + opening_transactions_ < usable - reserved;
 }
 
+auto admission_queue::start_kind(const admission_request& request) noexcept
+    -> std::size_t
+{
+    return static_cast<std::size_t>(request.estimate.length) * 2 +
+           (request.opens_transaction ? 1U : 0U);
+}
+
+auto admission_queue::has_startable(const class_queue& group) const -> bool
+{
+    auto request = admission_request{};
+    for (const auto length :
+         {statement_length::short_running, statement_length::unproven,
+          statement_length::long_running})
+    {
+        for (const auto opens_transaction : {false, true}) {
+            request.estimate.length = length;
+            request.opens_transaction = opens_transaction;
+            if (group.new_waiting.at(start_kind(request)) > 0 &&
+                may_start(request)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 auto admission_queue::is_length_allowed(statement_length length) const -> bool
 {
     const auto slots = usable_slots();
@@ -187,6 +213,11 @@
 
 auto admission_queue::pick_new(class_queue& group) -> std::optional<place>
 {
+    // Called for every arrival and every tick. With nothing that may start, a
+    // full queue must not be searched.
+    if (!has_startable(group)) {
+        return std::nullopt;
+    }
     auto best = std::optional<place>{};
     for (auto& [name, database] : group.databases) {
         if (database.waiting == 0 ||
@@ -249,6 +280,7 @@
         database.used = std::max(database.used, group.floor);
     }
     ++database.waiting;
+    ++group.new_waiting.at(start_kind(request));
     auto& caller = database.callers[request.caller];
     if (caller.waiting.empty()) {
         caller.used = std::max(caller.used, database.floor);
@@ -270,6 +302,7 @@
         estimate.length == statement_length::long_running ? 1U : 0U;
     if (where.caller != nullptr) {
         --where.database->waiting;
+        --where.group->new_waiting.at(start_kind(statement.request));
         where.caller->work -= estimate.expected;
     }
     return statement;
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -229,16 +229,39 @@
         });
 }
 
+auto ownership::owners_beside(const placement& target,
+                              const target_id& id) const
+    -> std::vector<const member*>
+{
+    auto owners = std::vector<const member*>();
+    for (const auto& sibling : groups_.at(target.group)) {
+        const auto& owner = targets_.at(sibling).owner;
+        if (sibling != id && owner) {
+            owners.push_back(&members_.at(*owner));
+        }
+    }
+    return owners;
+}
+
 auto ownership::rank(time_point now, const target_id& id,
                      const placement& target, const member& candidate) const
     -> preference
 {
+    return rank(now, id, target, candidate,
+                shares_group(target, id, candidate));
+}
+
+auto ownership::rank(time_point now, const target_id& id,
+                     const placement& target, const member& candidate,
+                     bool shares_group) -> preference
+{
+    const auto is_owner = target.owner == candidate.identity.id;
     const auto avoided = target.avoided.find(candidate.identity.id);
     return {avoided != target.avoided.end() && avoided->second > now,
             candidate.quiet_until > now,
             candidate.zone != target.zone,
-            shares_group(target, id, candidate),
-            candidate.targets.size() - candidate.targets.count(id),
+            shares_group,
+            candidate.targets.size() - (is_owner ? 1U : 0U),
             ~rendezvous_score(id, candidate.identity.id)};
 }
 
@@ -247,11 +270,15 @@
 {
     const auto* best = static_cast<const member*>(nullptr);
     auto best_rank = preference{};
+    // Looked up once and not for each of up to 540 candidates.
+    const auto beside = owners_beside(target, id);
     const auto consider = [&](const member& candidate) {
         if (candidate.is_draining) {
             return;
         }
-        const auto ranked = rank(now, id, target, candidate);
+        const auto shares_group =
+            std::find(beside.begin(), beside.end(), &candidate) != beside.end();
+        const auto ranked = rank(now, id, target, candidate, shares_group);
         if (best == nullptr || ranked.key() < best_rank.key()) {
             best = &candidate;
             best_rank = ranked;
