tests: keep the receiver with each event of the scenario network

Cause: each message of a scenario copied and looked up process names several times, and wrapped its work twice.

Change: an event holds its process, its run and its work; a connection holds its latest deliveries by end; reachability is looked up only while there are cuts. Delays and random numbers are drawn in the same order as before.

--- a/tests/coordination/scenario_network.cpp
+++ b/tests/coordination/scenario_network.cpp
@@ -54,7 +54,7 @@
     state.is_frozen = false;
     const auto run = state.run;
     for (auto& work : std::exchange(state.deferred, {})) {
-        deliver(process, run, std::move(work));
+        deliver(state, run, std::move(work));
     }
 }
 
@@ -68,7 +68,8 @@
     return processes_.at(process).is_frozen;
 }
 
-auto scenario_network::zone_of(const std::string& process) const -> std::string
+auto scenario_network::zone_of(const std::string& process) const
+    -> const std::string&
 {
     return processes_.at(process).zone;
 }
@@ -124,13 +125,13 @@
 auto scenario_network::is_reachable(const std::string& from,
                                     const std::string& to) const -> bool
 {
-    return !cuts_.contains({from, to});
+    return cuts_.empty() || !cuts_.contains({from, to});
 }
 
 auto scenario_network::connect(const std::string& a, const std::string& b)
     -> connection_number
 {
-    connections_[++last_connection_] = {a, b, false, false, {}};
+    connections_[++last_connection_] = {a, b, false, false, {}, {}};
     return last_connection_;
 }
 
@@ -150,18 +151,17 @@
     }
 }
 
-auto scenario_network::delay(const std::string& from, const std::string& to)
+auto scenario_network::delay(const process_state& from, const process_state& to)
     -> duration
 {
-    const auto base = zone_of(from) == zone_of(to) ? near_delay : far_delay;
+    const auto base = from.zone == to.zone ? near_delay : far_delay;
     return base + duration(static_cast<std::int64_t>(
                       random() % static_cast<std::uint64_t>(base.count())));
 }
 
-auto scenario_network::deliver(const std::string& process, std::uint64_t run,
+auto scenario_network::deliver(process_state& state, std::uint64_t run,
                                action work) -> void
 {
-    auto& state = processes_.at(process);
     if (!state.is_alive || state.run != run) {
         return;
     }
@@ -172,19 +172,22 @@
     work();
 }
 
+auto scenario_network::schedule(process_state& state, duration delay,
+                                action work) -> void
+{
+    // No process is removed, and a map keeps its elements in place.
+    events_.emplace(now_ + delay, event{&state, state.run, std::move(work)});
+}
+
 auto scenario_network::after(const std::string& process, duration delay,
                              action work) -> void
 {
-    const auto run = processes_.at(process).run;
-    events_.emplace(now_ + delay,
-                    [this, process, run, work = std::move(work)]() mutable {
-                        deliver(process, run, std::move(work));
-                    });
+    schedule(processes_.at(process), delay, std::move(work));
 }
 
 auto scenario_network::at(time_point when, action work) -> void
 {
-    events_.emplace(when, std::move(work));
+    events_.emplace(when, event{nullptr, 0, std::move(work)});
 }
 
 auto scenario_network::datagram(const std::string& from, const std::string& to,
@@ -192,7 +195,9 @@
 {
     const auto is_lost = random() % 100 < loss || !is_reachable(from, to);
     if (!is_lost) {
-        after(to, delay(from, to), std::move(work));
+        auto& receiver = processes_.at(to);
+        schedule(receiver, delay(processes_.at(from), receiver),
+                 std::move(work));
     }
 }
 
@@ -203,27 +208,29 @@
     if (!is_reachable(from, to)) {
         return;
     }
-    if (!is_alive(to)) {
+    auto& sender = processes_.at(from);
+    auto& receiver = processes_.at(to);
+    if (!receiver.is_alive) {
         if (refused && is_reachable(to, from)) {
-            after(from, delay(from, to) * 2, std::move(refused));
+            schedule(sender, delay(sender, receiver) * 2, std::move(refused));
         }
         return;
     }
     const auto found = connections_.find(connection);
     if (found == connections_.end() || found->second.is_closed) {
         if (refused) {
-            after(from, delay(from, to) * 2, std::move(refused));
+            schedule(sender, delay(sender, receiver) * 2, std::move(refused));
         }
         return;
     }
-    if (found->second.is_silent) {
+    auto& state = found->second;
+    if (state.is_silent) {
         return;
     }
-    auto& last = found->second.last[to];
-    last = std::max(last + duration(1), now_ + delay(from, to));
-    after(to, last - now_, [this, connection, work = std::move(work)] {
-        const auto place = connections_.find(connection);
-        if (place != connections_.end() && !place->second.is_silent) {
+    auto& last = to == state.a ? state.last_at_a : state.last_at_b;
+    last = std::max(last + duration(1), now_ + delay(sender, receiver));
+    schedule(receiver, last - now_, [&state, work = std::move(work)] {
+        if (!state.is_silent) {
             work();
         }
     });
@@ -232,9 +239,14 @@
 auto scenario_network::run_until(time_point end) -> void
 {
     while (!events_.empty() && events_.begin()->first <= end) {
-        auto event = events_.extract(events_.begin());
-        now_ = std::max(now_, event.key());
-        event.mapped()();
+        auto next = events_.extract(events_.begin());
+        now_ = std::max(now_, next.key());
+        auto& [process, run, work] = next.mapped();
+        if (process == nullptr) {
+            work();
+        } else {
+            deliver(*process, run, std::move(work));
+        }
     }
     now_ = std::max(now_, end);
 }
--- a/tests/coordination/scenario_network.hpp
+++ b/tests/coordination/scenario_network.hpp
@@ -38,7 +38,8 @@
     auto thaw(const std::string& process) -> void;
     [[nodiscard]] auto is_alive(const std::string& process) const -> bool;
     [[nodiscard]] auto is_frozen(const std::string& process) const -> bool;
-    [[nodiscard]] auto zone_of(const std::string& process) const -> std::string;
+    [[nodiscard]] auto zone_of(const std::string& process) const
+        -> const std::string&;
 
     /// Processes that a name of a scenario stands for: a process, a zone, all
     /// control members, or `*` for all.
@@ -91,6 +92,13 @@
         bool is_frozen = false;
         std::vector<action> deferred;
     };
+    struct event
+    {
+        /// Null for the script itself.
+        process_state* process = nullptr;
+        std::uint64_t run = 0;
+        action work;
+    };
     struct connection_state
     {
         std::string a;
@@ -98,15 +106,15 @@
         bool is_silent = false;
         /// One of the processes has ended.
         bool is_closed = false;
-        /// Latest delivery, by the name of the receiver, so that messages stay
-        /// in order.
-        std::map<std::string, time_point> last;
+        /// Latest delivery at either end, so that messages stay in order.
+        time_point last_at_a{};
+        time_point last_at_b{};
     };
 
-    [[nodiscard]] auto delay(const std::string& from, const std::string& to)
+    [[nodiscard]] auto delay(const process_state& from, const process_state& to)
         -> duration;
-    auto deliver(const std::string& process, std::uint64_t run, action work)
-        -> void;
+    auto deliver(process_state& state, std::uint64_t run, action work) -> void;
+    auto schedule(process_state& state, duration delay, action work) -> void;
 
     std::mt19937_64 random_;
     time_point now_{std::chrono::hours(1)};
@@ -114,7 +122,7 @@
     std::set<std::pair<std::string, std::string>> cuts_;
     std::map<connection_number, connection_state> connections_;
     connection_number last_connection_ = 0;
-    std::multimap<time_point, action> events_;
+    std::multimap<time_point, event> events_;
 };
 
 } // namespace rhubarbrun::tests
