transport: end drained sessions apart from their last answer

Cause: during a drain 57P01 was sent in one segment with the last answer. libpq takes an error that it reads together with ReadyForQuery for a notice, so the caller's next request failed without an SQLSTATE and counted as may have run, although it was never read. Ruled out: lost replies at the exit of the proxy (its targets were handed over 900 ms before, and no request was in flight), and a reset of the connection (the server waits for the caller's end of stream). Change: a draining session is ended once it has been quiet for 5 ms and no bytes of it wait in the socket; one that is never quiet is ended after an answer, as before, from 1 s on. The extended test in caller_server_test fails when sessions end right after their answer.

--- a/include/rhubarbrun/protocol/caller_protocol.hpp
+++ b/include/rhubarbrun/protocol/caller_protocol.hpp
@@ -102,8 +102,16 @@
                                 std::optional<std::string> new_token)
         -> caller_events;
 
-    /// Ends the session with 57P01 as soon as no request runs and no
-    /// transaction is open.
+    /// Ends the session with 57P01 if no request runs or waits and no
+    /// transaction is open; otherwise nothing happens.
+    ///
+    /// Not to be called right after an answer was sent: libpq takes an error
+    /// that it reads together with ReadyForQuery for a notice, and the next
+    /// request then fails without an SQLSTATE.
+    [[nodiscard]] auto end_if_idle() -> caller_events;
+
+    /// Ends the session with 57P01 as soon as no request runs or waits and no
+    /// transaction is open, also right after an answer.
     [[nodiscard]] auto drain() -> caller_events;
 
     /// Continues after output was taken; see `max_buffered_output`.
@@ -180,7 +188,7 @@
 
     auto advance() -> caller_events;
     auto queue_frames() -> void;
-    auto end_if_drained() -> void;
+    auto end_between_statements() -> void;
     auto end_session(std::string reason) -> void;
     auto fail_protocol(std::string_view message) -> void;
 
--- a/src/protocol/caller_protocol.cpp
+++ b/src/protocol/caller_protocol.cpp
@@ -89,7 +89,9 @@
     } catch (const protocol_error& error) {
         fail_protocol(error.what());
     }
-    end_if_drained();
+    if (is_draining_) {
+        end_between_statements();
+    }
     return std::exchange(events_, {});
 }
 
@@ -281,11 +283,21 @@
     return advance();
 }
 
-auto caller_protocol::end_if_drained() -> void
+auto caller_protocol::end_if_idle() -> caller_events
+{
+    auto events = advance();
+    end_between_statements();
+    for (auto& event : std::exchange(events_, {})) {
+        events.push_back(std::move(event));
+    }
+    return events;
+}
+
+auto caller_protocol::end_between_statements() -> void
 {
     // Messages that have arrived are answered first, so that 57P01 is never
     // the answer to a request.
-    if (!is_draining_ || phase_ != phase::ready || running_ ||
+    if (phase_ != phase::ready || running_ ||
         status_ != transaction_status::idle || is_in_batch_ ||
         !queue_.empty() || reader_.buffered_bytes() > 0)
     {
--- a/src/transport/caller_server.cpp
+++ b/src/transport/caller_server.cpp
@@ -8,7 +8,9 @@
 #include <netinet/tcp.h>
 
 #include <array>
+#include <chrono>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -30,6 +32,12 @@
 constexpr auto accept_pause = std::chrono::milliseconds(100);
 /// Time for a caller to read the last message before its connection closes.
 constexpr auto linger_time = std::chrono::seconds(1);
+/// Time between an answer and 57P01, so that the caller reads the two apart;
+/// see `caller_protocol::end_if_idle`.
+constexpr auto drain_pause = std::chrono::milliseconds(5);
+/// A session that sends its next request within `drain_pause` after every
+/// answer is ended right after an answer from then on.
+constexpr auto drain_limit = std::chrono::seconds(1);
 
 auto set_option(tcp::socket& socket, int level, int name, int value) -> void
 {
@@ -159,10 +167,20 @@
     auto complete(const execute_reply& reply,
                   std::optional<std::string> new_token) -> void
     {
+        if (draining_) {
+            ++draining_->answers;
+        }
         handle(protocol_.complete(reply, std::move(new_token)));
     }
 
-    auto drain() -> void { handle(protocol_.drain()); }
+    auto drain() -> void
+    {
+        if (!draining_) {
+            draining_ = std::make_unique<drain_progress>(drain_progress{
+                asio::steady_timer(socket_.get_executor()), clock::now(), 0});
+            step_drain();
+        }
+    }
 
     auto close() -> void
     {
@@ -179,6 +197,48 @@
     }
 
 private:
+    using clock = std::chrono::steady_clock;
+
+    struct drain_progress
+    {
+        asio::steady_timer timer;
+        clock::time_point started;
+        /// Answers since the drain began.
+        std::uint64_t answers = 0;
+    };
+
+    /// Ends the session once it is idle for `drain_pause`, or, if it never is,
+    /// after an answer.
+    auto step_drain() -> void
+    {
+        if (is_closed_ || is_ending_) {
+            return;
+        }
+        const auto now = clock::now();
+        const auto is_never_idle =
+            now - draining_->started >= drain_limit && draining_->answers > 1;
+        auto failure = error_code{};
+        const auto is_quiet = !is_writing_ &&
+                              now - last_answer_ >= drain_pause &&
+                              socket_.available(failure) == 0;
+        if (is_never_idle) {
+            handle(protocol_.drain());
+            return;
+        }
+        if (is_quiet) {
+            handle(protocol_.end_if_idle());
+        }
+        if (!is_ending_ && !is_closed_) {
+            draining_->timer.expires_after(drain_pause);
+            draining_->timer.async_wait(
+                [self = shared_from_this()](error_code stopped) {
+                    if (!stopped) {
+                        self->step_drain();
+                    }
+                });
+        }
+    }
+
     auto start_timer(duration timeout) -> void
     {
         timer_.expires_after(timeout);
@@ -317,6 +377,7 @@
                 if (self->is_started_) {
                     self->stop_timer();
                 }
+                self->last_answer_ = clock::now();
                 self->handle(self->protocol_.resume());
             });
     }
@@ -352,6 +413,9 @@
     /// `on_session` was called and `on_closed` was not.
     bool is_announced_ = false;
     bool is_started_ = false;
+    clock::time_point last_answer_;
+    /// Set once the proxy drains.
+    std::unique_ptr<drain_progress> draining_;
 };
 
 caller_server::shared_state::shared_state(asio::io_context& context,
--- a/tests/protocol/caller_protocol_test.cpp
+++ b/tests/protocol/caller_protocol_test.cpp
@@ -462,6 +462,26 @@
     CHECK(session.output().ends_with("C(SELECT 1)ZIE(57P01)"));
 }
 
+TEST_CASE("an idle session ends apart from its last answer")
+{
+    // libpq takes an error in the same segment as ReadyForQuery for a notice,
+    // so that its next request would fail without a verdict.
+    session_under_test session;
+    session.query("BEGIN");
+    session.take(session.protocol.end_if_idle());
+    session.answer("BEGIN", in_transaction);
+    session.take(session.protocol.end_if_idle());
+    CHECK(session.end_reason.empty());
+    session.query("COMMIT");
+    session.take(session.protocol.end_if_idle());
+    session.answer("COMMIT");
+    CHECK(session.end_reason.empty());
+    CHECK(session.output().ends_with("C(COMMIT)ZI"));
+    session.take(session.protocol.end_if_idle());
+    CHECK(session.end_reason == "drained");
+    CHECK(session.output() == "E(57P01)");
+}
+
 TEST_CASE("a broken message ends the session with a protocol error")
 {
     session_under_test session;
--- a/tests/transport/caller_server_test.cpp
+++ b/tests/transport/caller_server_test.cpp
@@ -136,7 +136,13 @@
                     last.status = PQresultStatus(result);
                     const auto* code =
                         PQresultErrorField(result, PG_DIAG_SQLSTATE);
-                    last.code = code == nullptr ? "" : code;
+                    // libpq adds an error of its own, without a code, when
+                    // the connection ends after an error of the server.
+                    const auto is_own_error =
+                        code == nullptr && last.status == PGRES_FATAL_ERROR;
+                    if (!is_own_error) {
+                        last.code = code == nullptr ? "" : code;
+                    }
                     if (PQntuples(result) > 0) {
                         last.value = PQgetvalue(result, 0, 0);
                     }
@@ -292,6 +298,13 @@
     one.answer(one.opened[1], "UPDATE 1");
     CHECK(busy.wait().status == PGRES_COMMAND_OK);
     CHECK(run_until(one.context, [&] { return one.closed.size() == 2; }));
+    // 57P01 is the answer to the next request, which has not run. Read
+    // together with the last answer it would be lost as a notice.
+    busy.send("UPDATE t SET a = 2");
+    const auto refused = busy.wait();
+    CHECK(refused.status == PGRES_FATAL_ERROR);
+    CHECK(refused.code == "57P01");
+    CHECK(one.requests.size() == 1);
     client late(one);
     CHECK_FALSE(late.is_open());
 }
