coordination: let reads wait for the replicas' answers, and uncount unsent ones

Cause: a read that waits for positions was routed when the primary's owner had answered, so that it went to the primary if the replicas' answers came later; replicas that answered before the primary's first answer were ignored. The stand-in of the scenarios hid it by routing at the next tick. A read counted as outstanding at a replica although it was not sent for lack of a link, was sent elsewhere after a lost link, or its session ended. Change: a read waits up to 20 ms, within fallback_wait_ms, for answers that are due; early answers count with the primary's answer to the same questions. Every way out of a replica takes the count back. The stand-in routes waiting reads at each answer, as entry_router does. Measured: coordination tests pass with the stand-in changed; without the release of the count the new test fails. Replica share before and after: not measured at processes.

--- a/include/rhubarbrun/coordination/entry_coordinator.hpp
+++ b/include/rhubarbrun/coordination/entry_coordinator.hpp
@@ -232,6 +232,8 @@
         -> bool;
     auto ask_positions(const entry_view& seen, const group_id& id,
                        group_positions& group, entry_actions& todo) -> void;
+    [[nodiscard]] auto awaits_positions(time_point now,
+                                        const group_id& group) const -> bool;
     [[nodiscard]] auto positions_of(const group_id& id) -> group_positions&;
 
     // Retries and verdicts, in entry_coordinator.cpp.
@@ -256,6 +258,8 @@
     auto note_answer(time_point now, session_state& caller,
                      const entry_reply& reply) -> void;
     auto count_answer(const running& request, const entry_reply& reply) -> void;
+    /// The request no longer is at the replica that it was sent to.
+    auto leave_replica(session_state& caller) -> void;
     auto fence_reply(const entry_view& seen, const session_state& caller,
                      entry_reply& reply) const -> void;
     static auto end_transaction_at_owner(session_id id, session_state& caller,
--- a/include/rhubarbrun/coordination/group_positions.hpp
+++ b/include/rhubarbrun/coordination/group_positions.hpp
@@ -8,6 +8,7 @@
 #include <rhubarbrun/state/units.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -57,6 +58,11 @@
     time_point acknowledged_at_{};
     std::optional<log_position> acknowledged_;
     std::set<target_id> followers_;
+    /// Answers of replicas that the primary has not reported yet, and when
+    /// they were asked for; they count only with the primary's answer to the
+    /// same round of questions, as such a replica may have diverged.
+    std::map<target_id, replica_report> early_reports_;
+    time_point early_asked_at_{};
     time_point queried_at_{};
 };
 
--- a/include/rhubarbrun/protocol/caller_request.hpp
+++ b/include/rhubarbrun/protocol/caller_request.hpp
@@ -27,7 +27,7 @@
     request_key key;
     /// Time that the caller gives the request, from its arrival.
     duration deadline{};
-    /// Accepted age of the data; 0 means that only the session floor counts.
+    /// Accepted age of the data; 0 stands for that of the group's read policy.
     duration max_age{};
     /// Key for learned classes; see `statement_shape`.
     std::string shape;
--- a/src/coordination/entry_coordinator.cpp
+++ b/src/coordination/entry_coordinator.cpp
@@ -122,8 +122,15 @@
                           todo);
         return;
     }
-    if (target == nullptr || !target->owner) {
+    const auto keep_waiting = [&] {
+        if (where.is_replica) {
+            // The choice has counted the read as sent.
+            positions_of(caller.group).choice().on_failed(where.target);
+        }
         park(seen.now, id, caller);
+    };
+    if (target == nullptr || !target->owner) {
+        keep_waiting();
         return;
     }
     const auto& owner = target->owner->id;
@@ -136,7 +143,7 @@
     {
         // Without a link, past its deadline or out of retries; `tick` ends it
         // at its deadline.
-        park(seen.now, id, caller);
+        keep_waiting();
         return;
     }
     request.is_parked = false;
@@ -238,9 +245,7 @@
     if (!may_retry || !pending_.on_may_have_run(now, reply.id, link)) {
         return false;
     }
-    if (request.is_at_replica) {
-        positions_of(caller.group).choice().on_failed(request.target);
-    }
+    leave_replica(caller);
     park(now, id, caller);
     return true;
 }
@@ -253,9 +258,7 @@
     auto& caller = sessions_.at(id);
     auto& request = *caller.request;
     ++counts_.rerouted;
-    if (request.is_at_replica) {
-        positions_of(caller.group).choice().on_failed(request.target);
-    }
+    leave_replica(caller);
     if (reply.reroute == reroute_hint::use_primary) {
         request.must_use_primary = true;
         park_until(id, caller, seen.now);
@@ -339,6 +342,14 @@
     }
 }
 
+auto entry_coordinator::leave_replica(session_state& caller) -> void
+{
+    auto& request = *caller.request;
+    if (std::exchange(request.is_at_replica, false)) {
+        positions_of(caller.group).choice().on_failed(request.target);
+    }
+}
+
 auto entry_coordinator::count_answer(const running& request,
                                      const entry_reply& reply) -> void
 {
@@ -421,6 +432,7 @@
     }
     static_cast<void>(pending_.on_session_closed(session));
     if (caller.request) {
+        leave_replica(caller);
         by_request_.erase(caller.request->id);
     }
     parked_.erase(session);
@@ -441,6 +453,7 @@
     const auto loss = pending_.on_link_lost(seen.now, link);
     for (const auto request : loss.retries) {
         const auto id = by_request_.at(request);
+        leave_replica(sessions_.at(id));
         park_until(id, sessions_.at(id), seen.now);
     }
     for (const auto& ending : loss.endings) {
--- a/src/coordination/entry_coordinator_routes.cpp
+++ b/src/coordination/entry_coordinator_routes.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 /// Questions remembered; the answers to older ones are ignored.
+/// How long a read waits for the answer of a replica; one that has not answered
+/// by then is far away or lost.
+constexpr auto answer_wait = std::chrono::milliseconds(20);
 constexpr auto most_queries = std::size_t{4096};
 
 } // namespace
@@ -125,7 +128,10 @@
     requirements.max_age = duration::zero();
     const auto chosen = group.choice().choose(seen.now, requirements);
     if (chosen.kind == read_target::primary) {
-        return route_to_primary(seen, caller);
+        // The answers of the replicas may arrive after that of the primary.
+        const auto may_wait = seen.now < request.position_limit &&
+                              awaits_positions(seen.now, caller.group);
+        return may_wait ? where : route_to_primary(seen, caller);
     }
     where.kind = route::result::send;
     where.target = *chosen.target;
@@ -170,6 +176,21 @@
     }
 }
 
+auto entry_coordinator::awaits_positions(time_point now,
+                                         const group_id& group) const -> bool
+{
+    // Ids grow with time, so that the newest questions are the last.
+    for (auto each = queries_.rbegin(); each != queries_.rend(); ++each) {
+        if (now - each->second.asked_at >= answer_wait) {
+            return false;
+        }
+        if (each->second.group == group) {
+            return true;
+        }
+    }
+    return false;
+}
+
 auto entry_coordinator::on_position(const entry_view& seen, request_id question,
                                     const target_position& answer) -> void
 {
--- a/src/coordination/group_positions.cpp
+++ b/src/coordination/group_positions.cpp
@@ -46,7 +46,12 @@
                 choice_.on_removed(target);
             }
         }
-    } else if (followers_.contains(answer.target)) {
+        for (auto& [target, early] : std::exchange(early_reports_, {})) {
+            if (early_asked_at_ == asked_at && followers_.contains(target)) {
+                choice_.on_report(now, std::move(early));
+            }
+        }
+    } else {
         auto report = replica_report{};
         report.target = answer.target;
         report.zone = record->description.zone;
@@ -57,7 +62,15 @@
         report.replayed = *answer.position;
         report.replayed_at = read_at;
         report.load = answer.load;
-        choice_.on_report(now, std::move(report));
+        if (followers_.contains(answer.target)) {
+            choice_.on_report(now, std::move(report));
+        } else {
+            if (early_asked_at_ != asked_at) {
+                early_reports_.clear();
+                early_asked_at_ = asked_at;
+            }
+            early_reports_.insert_or_assign(answer.target, std::move(report));
+        }
     }
 }
 
--- a/tests/coordination/entry_coordinator_test.cpp
+++ b/tests/coordination/entry_coordinator_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <map>
+#include <optional>
 
 using namespace rhubarbrun;
 using namespace std::chrono_literals;
@@ -239,3 +241,137 @@
     CHECK(entry.is_answered_may_have_run());
     CHECK_FALSE(entry.answer()->token);
 }
+
+namespace {
+
+const auto replica = target_id("s1");
+const auto second_replica = target_id("s2");
+
+/// The group of `directory_of` with two replicas, all owned by `owner`.
+auto directory_with_replicas() -> directory
+{
+    auto result = directory_of(term(1));
+    auto delta = directory_delta{};
+    delta.since = result.index();
+    delta.up_to = log_index(2);
+    for (const auto& id : {replica, second_replica}) {
+        auto target = target_record{};
+        target.description.id = id;
+        target.description.group = group;
+        target.description.slots = 3;
+        target.owner = owner;
+        target.epoch = owner_epoch(1);
+        delta.targets.push_back(target);
+    }
+    REQUIRE(result.apply(delta) == delta_outcome::applied);
+    return result;
+}
+
+/// A fixture whose session reads from a group with two replicas.
+struct read_fixture : fixture
+{
+    read_fixture() { copy = directory_with_replicas(); }
+
+    auto read() -> void
+    {
+        auto request = entry_request{};
+        request.is_read_only = true;
+        request.deadline = 1s;
+        todo.clear();
+        id = coordinator.on_request(seen(), alice, request, todo).value();
+        for (const auto& action : todo) {
+            if (const auto* const query = std::get_if<query_action>(&action)) {
+                questions[query->target] = query->id;
+            }
+        }
+    }
+
+    auto answer_position(const target_id& target, bool is_primary) -> void
+    {
+        auto position = target_position{};
+        position.target = target;
+        position.position = log_position{term(1), log_offset(50)};
+        if (is_primary) {
+            position.log_end = position.position;
+            position.followers = {replica, second_replica};
+        }
+        coordinator.on_position(seen(), questions.at(target), position);
+        now += 4ms;
+        todo = coordinator.retry(seen());
+    }
+
+    [[nodiscard]] auto sent_to() const -> std::optional<target_id>
+    {
+        for (const auto& action : todo) {
+            if (const auto* const send = std::get_if<send_action>(&action)) {
+                return send->target;
+            }
+        }
+        return std::nullopt;
+    }
+
+    request_id id;
+    std::map<target_id, request_id> questions;
+};
+
+} // namespace
+
+// Guards against reads at the primary whenever its answer is the first.
+TEST_CASE("a read waits for the replicas' answers, not for the primary's only")
+{
+    auto entry = read_fixture();
+    entry.read();
+    REQUIRE(entry.questions.size() == 3);
+    entry.answer_position(primary, true);
+    CHECK_FALSE(entry.sent_to());
+    entry.answer_position(replica, false);
+    CHECK(entry.sent_to() == replica);
+}
+
+// Guards against a replica's answer that is lost because it came first.
+TEST_CASE("a replica's answer counts although it arrives before the primary's")
+{
+    auto entry = read_fixture();
+    entry.read();
+    entry.answer_position(replica, false);
+    CHECK_FALSE(entry.sent_to());
+    entry.answer_position(primary, true);
+    CHECK(entry.sent_to() == replica);
+}
+
+// Guards against a wait for a replica that will not answer.
+TEST_CASE("a read goes to the primary if no replica answers")
+{
+    auto entry = read_fixture();
+    entry.read();
+    entry.answer_position(primary, true);
+    CHECK_FALSE(entry.sent_to());
+    entry.tick_after(60ms);
+    CHECK(entry.sent_to() == primary);
+}
+
+// Guards against a replica that looks busy because of reads it never got.
+TEST_CASE("a read that leaves a replica unanswered no longer counts there")
+{
+    auto entry = read_fixture();
+    entry.read();
+    entry.answer_position(replica, false);
+    entry.answer_position(primary, true);
+    REQUIRE(entry.sent_to() == replica);
+    // The link is lost again and again while the read is at the replica.
+    for (auto times = 0; times < 3; ++times) {
+        entry.todo = entry.coordinator.on_link_down(entry.seen(), to_owner);
+        entry.tick_after(5ms);
+    }
+    CHECK(entry.answer() == nullptr);
+    static_cast<void>(entry.coordinator.on_closed(alice));
+    entry.coordinator.open_session(entry.now, alice, group, {});
+    entry.now += 20ms;
+    entry.read();
+    entry.answer_position(replica, false);
+    entry.answer_position(second_replica, false);
+    entry.answer_position(primary, true);
+    entry.tick_after(20ms);
+    // Both are idle, and the names decide between equals.
+    CHECK(entry.sent_to() == replica);
+}
--- a/tests/coordination/scenario_proxy_entry.cpp
+++ b/tests/coordination/scenario_proxy_entry.cpp
@@ -319,9 +319,8 @@
 auto scenario_proxy::on_position(request_id query,
                                  const target_position& answer) -> void
 {
-    // In contrast to entry_router, waiting reads are routed at the next tick:
-    // the answer of the primary alone would send them to the primary.
     entry_->on_position(seen(), query, answer);
+    carry_out(entry_->retry(seen()));
 }
 
 auto scenario_proxy::on_link_down(const std::string& peer, link_id link) -> void
