transport: report latencies by kind of request

Cause: /v1/metrics of a proxy held counters only, so that operators could not see the latency of writes and of replica reads.

--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -6,6 +6,7 @@
 #include <rhubarbrun/protocol/execute_messages.hpp>
 #include <rhubarbrun/state/directory.hpp>
 #include <rhubarbrun/state/session_token.hpp>
+#include <rhubarbrun/transport/latency_window.hpp>
 #include <rhubarbrun/transport/owned_target.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
 
@@ -52,6 +53,15 @@
     zone_id zone;
 };
 
+/// Latencies of the entry role by kind of request; no value for a kind without
+/// an answer in the window.
+struct entry_latencies
+{
+    std::optional<latency_summary> writes;
+    std::optional<latency_summary> replica_reads;
+    std::optional<latency_summary> primary_reads;
+};
+
 /// The entry role: carries out what `entry_coordinator` decides on the requests
 /// of this proxy's sessions.
 ///
@@ -81,6 +91,8 @@
     auto tick() -> void;
 
     [[nodiscard]] auto status() const -> entry_status;
+    /// Times from request to answer in the last whole minute.
+    [[nodiscard]] auto latencies() -> entry_latencies;
 
     /// Whether any request has not been answered yet.
     [[nodiscard]] auto has_requests() const -> bool;
@@ -100,6 +112,15 @@
         std::string name;
         /// The request that was not answered yet.
         caller_request request;
+        time_point asked_at;
+    };
+
+    /// Answers that reached their callers with a result of the target.
+    struct latency_windows
+    {
+        latency_window writes;
+        latency_window replica_reads;
+        latency_window primary_reads;
     };
 
     /// Calls `decide` with the lock held and carries out the actions that it
@@ -111,6 +132,7 @@
     [[nodiscard]] auto prepare_send(const send_action& action) -> step;
     [[nodiscard]] auto prepare_cancel(const cancel_action& action) -> step;
     [[nodiscard]] auto prepare_query(const query_action& action) -> step;
+    auto note_latency(const caller_state& caller, bool is_at_replica) -> void;
     [[nodiscard]] auto prepare_answer(answer_action action,
                                       execute_reply& reply) -> step;
     [[nodiscard]] auto make_coordinator_options() -> entry_coordinator_options;
@@ -119,6 +141,7 @@
     entry_hooks hooks_;
     mutable ranked_mutex mutex_{lock_rank::sessions};
     entry_coordinator coordinator_;
+    latency_windows latencies_;
     std::unordered_map<session_id, caller_state> callers_;
 };
 
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr auto latency_window_length = std::chrono::minutes(1);
+
 auto not_run(std::string_view code, std::string message,
              duration retry_after = {}) -> request_error
 {
@@ -55,7 +57,10 @@
 entry_router::entry_router(entry_options options, entry_hooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      coordinator_(make_coordinator_options())
+      coordinator_(make_coordinator_options()),
+      latencies_{latency_window(latency_window_length),
+                 latency_window(latency_window_length),
+                 latency_window(latency_window_length)}
 {
 }
 
@@ -206,6 +211,9 @@
     result.error = std::move(action.error);
     const auto caller = callers_.find(action.session);
     if (caller != callers_.end()) {
+        if (!result.error) {
+            note_latency(caller->second, action.is_at_replica);
+        }
         caller->second.request = {};
     }
     return [this, session = action.session, result = std::move(result),
@@ -214,6 +222,24 @@
     };
 }
 
+auto entry_router::note_latency(const caller_state& caller, bool is_at_replica)
+    -> void
+{
+    const auto now = hooks_.now();
+    auto& window = !caller.request.is_read_only ? latencies_.writes
+                   : is_at_replica              ? latencies_.replica_reads
+                                                : latencies_.primary_reads;
+    window.add(now, now - caller.asked_at);
+}
+
+auto entry_router::latencies() -> entry_latencies
+{
+    const auto lock = std::lock_guard(mutex_);
+    const auto now = hooks_.now();
+    return {latencies_.writes.last(now), latencies_.replica_reads.last(now),
+            latencies_.primary_reads.last(now)};
+}
+
 auto entry_router::on_session(session_id session, const session_start& start)
     -> void
 {
@@ -279,6 +305,7 @@
         }
         const auto summary = summary_of(request);
         caller->second.request = std::move(request);
+        caller->second.asked_at = seen.now;
         static_cast<void>(
             coordinator_.on_request(seen, session, summary, todo));
         return todo;
--- a/src/transport/proxy_node_http.cpp
+++ b/src/transport/proxy_node_http.cpp
@@ -263,40 +263,59 @@
 
 auto proxy_node::on_metrics(const http_reply& reply) -> void
 {
-    collect_targets(
-        [this, reply](const std::vector<owned_target_status>& statuses) {
-            const auto entry = entry_->status();
-            auto text = std::ostringstream{};
-            const auto line = [&](std::string_view name, auto value) {
-                text << "rhubarbrun_" << name << ' ' << value << '\n';
+    collect_targets([this,
+                     reply](const std::vector<owned_target_status>& statuses) {
+        const auto entry = entry_->status();
+        auto text = std::ostringstream{};
+        const auto line = [&](std::string_view name, auto value) {
+            text << "rhubarbrun_" << name << ' ' << value << '\n';
+        };
+        line("sessions", entry.sessions);
+        line("requests_in_flight", entry.in_flight);
+        line("requests_total", entry.counts.requests);
+        line("writes_total", entry.counts.writes);
+        line("replica_reads_total", entry.counts.replica_reads);
+        line("primary_reads_total", entry.counts.primary_reads);
+        line("rerouted_total", entry.counts.rerouted);
+        line("refused_total", entry.counts.refused);
+        line("may_have_run_total", entry.counts.may_have_run);
+        line("directory_index", control_->view()->index());
+        line("ready", control_->is_ready() ? 1 : 0);
+        const auto in_milliseconds = [](duration value) {
+            using milliseconds = std::chrono::duration<double, std::milli>;
+            return milliseconds(value).count();
+        };
+        const auto latency_lines =
+            [&](const std::string& kind,
+                const std::optional<latency_summary>& summary) {
+                if (!summary) {
+                    return;
+                }
+                const auto name = "latency_ms{kind=\"" + kind + "\",value=";
+                line(name + "\"median\"}", in_milliseconds(summary->median));
+                line(name + "\"p99\"}", in_milliseconds(summary->p99));
+                line(name + "\"max\"}", in_milliseconds(summary->worst));
             };
-            line("sessions", entry.sessions);
-            line("requests_in_flight", entry.in_flight);
-            line("requests_total", entry.counts.requests);
-            line("writes_total", entry.counts.writes);
-            line("replica_reads_total", entry.counts.replica_reads);
-            line("primary_reads_total", entry.counts.primary_reads);
-            line("rerouted_total", entry.counts.rerouted);
-            line("refused_total", entry.counts.refused);
-            line("may_have_run_total", entry.counts.may_have_run);
-            line("directory_index", control_->view()->index());
-            line("ready", control_->is_ready() ? 1 : 0);
-            for (const auto& status : statuses) {
-                const auto label = "{target=\"" + status.id.value() + "\"}";
-                line("target_running" + label, status.queue.running);
-                line("target_started_total" + label, status.queue.started);
-                line("target_refused_total" + label, status.queue.refused);
-                line("target_connections_opened_total" + label,
-                     status.connections.opened);
-                line("target_connections_lost_total" + label,
-                     status.connections.lost);
-                line("target_primary" + label, status.is_primary ? 1 : 0);
-            }
-            auto response = http_response{};
-            response.content_type = "text/plain; version=0.0.4";
-            response.body = text.str();
-            reply(std::move(response));
-        });
+        const auto latencies = entry_->latencies();
+        latency_lines("write", latencies.writes);
+        latency_lines("replica_read", latencies.replica_reads);
+        latency_lines("primary_read", latencies.primary_reads);
+        for (const auto& status : statuses) {
+            const auto label = "{target=\"" + status.id.value() + "\"}";
+            line("target_running" + label, status.queue.running);
+            line("target_started_total" + label, status.queue.started);
+            line("target_refused_total" + label, status.queue.refused);
+            line("target_connections_opened_total" + label,
+                 status.connections.opened);
+            line("target_connections_lost_total" + label,
+                 status.connections.lost);
+            line("target_primary" + label, status.is_primary ? 1 : 0);
+        }
+        auto response = http_response{};
+        response.content_type = "text/plain; version=0.0.4";
+        response.body = text.str();
+        reply(std::move(response));
+    });
 }
 
 auto proxy_node::on_health(const http_reply& reply) -> void
