coordination: renew the replicas' reports when no replica is fit

Cause: positions were asked for only while the floor of a read was unknown. Reports of replicas run out after 3 s unless reads renew them, while the primary's position stays good for the accepted age of 5 s. A proxy whose reports had run out sent its reads to the primary until the next question. Change: a read without a fit replica asks for positions as well, at most every 200 ms, and waits for the answers as other reads do. The new test fails without the question.

--- a/include/rhubarbrun/coordination/entry_coordinator.hpp
+++ b/include/rhubarbrun/coordination/entry_coordinator.hpp
@@ -231,7 +231,8 @@
                                               const group_positions& group)
         -> bool;
     auto ask_positions(const entry_view& seen, const group_id& id,
-                       group_positions& group, entry_actions& todo) -> void;
+                       group_positions& group, duration interval,
+                       entry_actions& todo) -> void;
     [[nodiscard]] auto awaits_positions(time_point now,
                                         const group_id& group) const -> bool;
     [[nodiscard]] auto positions_of(const group_id& id) -> group_positions&;
--- a/include/rhubarbrun/coordination/group_positions.hpp
+++ b/include/rhubarbrun/coordination/group_positions.hpp
@@ -37,8 +37,10 @@
 public:
     explicit group_positions(replica_choice_options options);
 
-    /// Whether positions may be asked for now; if so, counts it as done.
-    [[nodiscard]] auto take_query_turn(time_point now) -> bool;
+    /// Whether positions were last asked for at least `interval` ago; if so,
+    /// counts it as done now.
+    [[nodiscard]] auto take_query_turn(time_point now, duration interval)
+        -> bool;
 
     /// A query that was sent at `asked_at` was answered. A replica counts only
     /// if the primary reported that it streams from it. `zone` is that of this
--- a/src/coordination/entry_coordinator_routes.cpp
+++ b/src/coordination/entry_coordinator_routes.cpp
@@ -14,6 +14,11 @@
 namespace {
 
 /// Questions remembered; the answers to older ones are ignored.
+/// Positions of one group are asked for at most this often while reads need
+/// them...
+constexpr auto query_interval = std::chrono::milliseconds(20);
+/// ... and this often while no replica is fit, as that may last.
+constexpr auto refresh_interval = std::chrono::milliseconds(200);
 /// How long a read waits for the answer of a replica; one that has not answered
 /// by then is far away or lost.
 constexpr auto answer_wait = std::chrono::milliseconds(20);
@@ -121,13 +126,16 @@
         if (seen.now >= request.position_limit) {
             return route_to_primary(seen, caller);
         }
-        ask_positions(seen, caller.group, group, todo);
+        ask_positions(seen, caller.group, group, query_interval, todo);
         return where;
     }
     requirements.floor = ignores_floor ? std::nullopt : floor;
     requirements.max_age = duration::zero();
     const auto chosen = group.choice().choose(seen.now, requirements);
     if (chosen.kind == read_target::primary) {
+        // Reports are renewed by the reads that replicas answer, so they run
+        // out once reads go to the primary.
+        ask_positions(seen, caller.group, group, refresh_interval, todo);
         // The answers of the replicas may arrive after that of the primary.
         const auto may_wait = seen.now < request.position_limit &&
                               awaits_positions(seen.now, caller.group);
@@ -154,10 +162,10 @@
 
 auto entry_coordinator::ask_positions(const entry_view& seen,
                                       const group_id& id,
-                                      group_positions& group,
+                                      group_positions& group, duration interval,
                                       entry_actions& todo) -> void
 {
-    if (!group.take_query_turn(seen.now)) {
+    if (!group.take_query_turn(seen.now, interval)) {
         return;
     }
     for (const auto& target : seen.copy.targets_of(id)) {
--- a/src/coordination/group_positions.cpp
+++ b/src/coordination/group_positions.cpp
@@ -4,21 +4,14 @@
 
 namespace rhubarbrun::inline v1 {
 
-namespace {
-
-/// Positions of one group are asked for at most this often.
-constexpr auto least_query_interval = std::chrono::milliseconds(20);
-
-} // namespace
-
 group_positions::group_positions(replica_choice_options options)
     : choice_(std::move(options))
 {
 }
 
-auto group_positions::take_query_turn(time_point now) -> bool
+auto group_positions::take_query_turn(time_point now, duration interval) -> bool
 {
-    if (now - queried_at_ < least_query_interval) {
+    if (now - queried_at_ < interval) {
         return false;
     }
     queried_at_ = now;
--- a/tests/coordination/entry_coordinator_test.cpp
+++ b/tests/coordination/entry_coordinator_test.cpp
@@ -375,3 +375,29 @@
     // Both are idle, and the names decide between equals.
     CHECK(entry.sent_to() == replica);
 }
+
+// Guards against reads that stay at the primary once the reports of the
+// replicas have run out.
+TEST_CASE("outdated reports of the replicas are renewed")
+{
+    auto entry = read_fixture();
+    entry.read();
+    entry.answer_position(replica, false);
+    entry.answer_position(second_replica, false);
+    entry.answer_position(primary, true);
+    entry.tick_after(200ms);
+    REQUIRE(entry.sent_to());
+    auto answered = entry_reply{};
+    answered.id = entry.id;
+    entry.reply(answered);
+    REQUIRE(entry.answer() != nullptr);
+    // The primary's position is younger than the accepted age of 5 s, but the
+    // reports are older than their lifetime of 3 s.
+    entry.now += 4s;
+    entry.questions.clear();
+    entry.read();
+    CHECK_FALSE(entry.sent_to());
+    REQUIRE(entry.questions.size() == 3);
+    entry.answer_position(replica, false);
+    CHECK(entry.sent_to() == replica);
+}
