coordination: do not take rare samples of the primary for replication lag

Cause: the lag of a replica was counted from the last sample of the primary that the replica had reached. A proxy that had been idle for more than 5 s compared a replica a moment behind the primary with a sample of long ago, excluded it, and sent reads to the primary for at least 2 s. Change: the lag counts from the first sample above the replica's position. The floor of a read, not the exclusion, decides on staleness as before. The new test fails on the old code.

--- a/include/rhubarbrun/coordination/read_policy.hpp
+++ b/include/rhubarbrun/coordination/read_policy.hpp
@@ -70,8 +70,10 @@
     [[nodiscard]] auto likely_lag(time_point asked_at,
                                   log_position replayed) const -> duration;
 
-    /// How far the data at `replayed` is behind the newest sample. In contrast
-    /// to `age` it does not grow while the primary is not heard.
+    /// How far the data at `replayed` is known to be behind the newest sample:
+    /// the time since the first sample above it, 0 without one. In contrast to
+    /// `age` it neither grows while the primary is not heard, nor counts a gap
+    /// between two samples as lag.
     [[nodiscard]] auto behind_newest(log_position replayed) const -> duration;
 
 private:
--- a/src/coordination/read_policy.cpp
+++ b/src/coordination/read_policy.cpp
@@ -104,12 +104,8 @@
 
 auto primary_history::behind_newest(log_position replayed) const -> duration
 {
-    if (samples_.empty()) {
-        return duration{};
-    }
     const auto next = above(replayed);
-    const auto sample = next == samples_.begin() ? next : std::prev(next);
-    return samples_.back().at - sample->at;
+    return next == samples_.end() ? duration{} : samples_.back().at - next->at;
 }
 
 auto check_read(time_point now, const read_requirements& requirements,
--- a/tests/coordination/replica_choice_test.cpp
+++ b/tests/coordination/replica_choice_test.cpp
@@ -269,3 +269,18 @@
     wanted.replicas_wanted = 0;
     CHECK(choice.choose(now, wanted).kind == read_target::primary);
 }
+
+// Guards against reads that leave a replica because its proxy had been idle.
+TEST_CASE("rare samples of the primary are not taken for replication lag")
+{
+    std::mt19937_64 random(1);
+    auto choice = make_choice(random);
+    choice.on_report(now, report(near_one, at(10000), now));
+    const auto later = now + 20s;
+    choice.on_primary_position(later, at(30000));
+    // One millisecond behind the primary, whose last sample is 20 s old.
+    choice.on_report(later, report(near_one, at(29999), later));
+    auto wanted = read(at(29000));
+    wanted.deadline = later + 1s;
+    CHECK(choice.choose(later, wanted).target == near_one);
+}
