scripts: say which first ports work

Cause: a run with DEMO_BASE_PORT=35000 failed to bind, as a connection had taken the port. Change: a comment names the range.

--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -5,6 +5,8 @@
 programs=$directory/programs
 bench=$directory/bench/rhubarbrun-bench
 work=$(mktemp -d)
+# First port; below the range of ephemeral ports, which starts at 32768 by
+# default.
 base=${DEMO_BASE_PORT:-27000}
 pids=()
 
