state, transport: one place for error makers and milliseconds

Change: make_error, not_run_error and milliseconds are part of the state layer; the time is passed to the router's steps instead of being read again.

--- a/include/rhubarbrun/protocol/execute_messages.hpp
+++ b/include/rhubarbrun/protocol/execute_messages.hpp
@@ -52,6 +52,14 @@
     }
 };
 
+/// A statement of the simple query protocol.
+[[nodiscard]] inline auto simple_statement(std::string text) -> statement
+{
+    auto body = statement{};
+    body.text = std::move(text);
+    return body;
+}
+
 /// Entry proxy to owner: run this statement at the target.
 struct execute_request
 {
--- a/include/rhubarbrun/state/request_error.hpp
+++ b/include/rhubarbrun/state/request_error.hpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace rhubarbrun::inline v1 {
 
@@ -55,6 +56,23 @@
     }
 };
 
+/// An error with verdict `outcome`; `code` is one of `sqlstate`.
+[[nodiscard]] inline auto make_error(verdict outcome, std::string_view code,
+                                     std::string message,
+                                     duration retry_after = {}) -> request_error
+{
+    return {outcome, std::string(code), std::move(message), retry_after};
+}
+
+/// The error of a request that no byte of has reached a target.
+[[nodiscard]] inline auto not_run_error(std::string_view code,
+                                        std::string message,
+                                        duration retry_after = {})
+    -> request_error
+{
+    return make_error(verdict::not_run, code, std::move(message), retry_after);
+}
+
 } // namespace rhubarbrun::inline v1
 
 #endif
--- a/include/rhubarbrun/state/units.hpp
+++ b/include/rhubarbrun/state/units.hpp
@@ -33,6 +33,13 @@
 /// Returns a uniformly distributed 64-bit number.
 using random_function = std::function<std::uint64_t()>;
 
+/// `count` milliseconds, as settings and bundles state lengths of time.
+[[nodiscard]] constexpr auto milliseconds(std::int64_t count) noexcept
+    -> duration
+{
+    return std::chrono::milliseconds(count);
+}
+
 /// Whole milliseconds of `value`, for messages and logs.
 [[nodiscard]] constexpr auto to_milliseconds(duration value) noexcept
     -> std::int64_t
--- a/include/rhubarbrun/transport/entry_router.hpp
+++ b/include/rhubarbrun/transport/entry_router.hpp
@@ -127,13 +127,14 @@
     /// returns. `reply` holds the result for the answer to its request.
     auto handle(const std::function<entry_actions(const entry_view&)>& decide,
                 execute_reply reply = {}) -> void;
-    [[nodiscard]] auto prepare(entry_actions actions, execute_reply& reply)
-        -> steps;
+    [[nodiscard]] auto prepare(time_point now, entry_actions actions,
+                               execute_reply& reply) -> steps;
     [[nodiscard]] auto prepare_send(const send_action& action) -> step;
     [[nodiscard]] auto prepare_cancel(const cancel_action& action) -> step;
     [[nodiscard]] auto prepare_query(const query_action& action) -> step;
-    auto note_latency(const caller_state& caller, bool is_at_replica) -> void;
-    [[nodiscard]] auto prepare_answer(answer_action action,
+    auto note_latency(time_point now, const caller_state& caller,
+                      bool is_at_replica) -> void;
+    [[nodiscard]] auto prepare_answer(time_point now, answer_action action,
                                       execute_reply& reply) -> step;
     [[nodiscard]] auto make_coordinator_options() -> entry_coordinator_options;
 
--- a/include/rhubarbrun/transport/owned_target.hpp
+++ b/include/rhubarbrun/transport/owned_target.hpp
@@ -88,6 +88,9 @@
     older_backends older;
 };
 
+/// Reply to a request for a target that this proxy does not own.
+[[nodiscard]] auto not_owned_reply(request_id id) -> execute_reply;
+
 /// Everything that the owner of a target holds: its queue, slots, connections
 /// and transactions, and, for a primary, the acknowledgement of writes and the
 /// failover.
@@ -228,7 +231,6 @@
         const target_id& target,
         const std::function<void(const std::optional<server_state>&)>& done)
         -> void;
-    [[nodiscard]] auto other_proxies() const -> std::vector<proxy_id>;
     auto step_handover(time_point now) -> void;
     auto release_if_gone(time_point now) -> void;
 
--- a/src/coordination/entry_coordinator.cpp
+++ b/src/coordination/entry_coordinator.cpp
@@ -1,5 +1,3 @@
-#include "entry_errors.hpp"
-
 #include <rhubarbrun/coordination/entry_coordinator.hpp>
 
 #include <algorithm>
@@ -8,8 +6,6 @@
 
 namespace rhubarbrun::inline v1 {
 
-using detail::not_run;
-
 namespace {
 
 /// Pause before a request is routed again after an owner refused it; doubles
@@ -88,7 +84,8 @@
     if (caller.request->is_cancelled) {
         finish_with_error(
             seen, id,
-            not_run(sqlstate::query_canceled, "cancelled by the caller"), todo);
+            not_run_error(sqlstate::query_canceled, "cancelled by the caller"),
+            todo);
         return;
     }
     const auto where = choose_route(seen, caller, todo);
@@ -116,10 +113,11 @@
         (target != nullptr && target->epoch == caller.transaction->epoch);
     if (!is_same_owner) {
         caller.transaction.reset();
-        finish_with_error(seen, id,
-                          not_run(sqlstate::transaction_rollback,
-                                  "the transaction was lost and rolled back"),
-                          todo);
+        finish_with_error(
+            seen, id,
+            not_run_error(sqlstate::transaction_rollback,
+                          "the transaction was lost and rolled back"),
+            todo);
         return;
     }
     const auto keep_waiting = [&] {
@@ -283,11 +281,9 @@
         group != nullptr && group->primary &&
         group->primary->group_term > reply.position->group_term;
     if (is_replaced) {
-        reply.error =
-            request_error{verdict::may_have_run,
-                          std::string(sqlstate::transaction_resolution_unknown),
-                          "the primary was replaced before its answer arrived",
-                          {}};
+        reply.error = make_error(
+            verdict::may_have_run, sqlstate::transaction_resolution_unknown,
+            "the primary was replaced before its answer arrived");
     }
 }
 
@@ -407,7 +403,8 @@
     if (request.is_parked) {
         finish_with_error(
             seen, session,
-            not_run(sqlstate::query_canceled, "cancelled by the caller"), todo);
+            not_run_error(sqlstate::query_canceled, "cancelled by the caller"),
+            todo);
     } else {
         todo.emplace_back(
             cancel_action{session, request.id, request.target, request.link});
--- a/src/coordination/entry_coordinator_routes.cpp
+++ b/src/coordination/entry_coordinator_routes.cpp
@@ -1,5 +1,3 @@
-#include "entry_errors.hpp"
-
 #include <rhubarbrun/coordination/entry_coordinator.hpp>
 
 #include <utility>
@@ -9,8 +7,6 @@
 
 namespace rhubarbrun::inline v1 {
 
-using detail::not_run;
-
 namespace {
 
 /// Questions remembered; the answers to older ones are ignored.
@@ -41,15 +37,15 @@
                            request.step == transaction_step::end;
     if (is_orphan) {
         where.kind = route::result::refuse;
-        where.error = not_run(sqlstate::transaction_rollback,
-                              "the transaction was lost and rolled back");
+        where.error = not_run_error(sqlstate::transaction_rollback,
+                                    "the transaction was lost and rolled back");
         return where;
     }
     if (!seen.is_ready) {
         where.kind = route::result::refuse;
-        where.error = not_run(sqlstate::cannot_connect_now,
-                              "this proxy has no contact with control",
-                              std::chrono::seconds(1));
+        where.error = not_run_error(sqlstate::cannot_connect_now,
+                                    "this proxy has no contact with control",
+                                    std::chrono::seconds(1));
         return where;
     }
     const auto is_replica_read =
@@ -65,8 +61,8 @@
     const auto* const group = seen.copy.find_group(caller.group);
     if (group == nullptr) {
         where.kind = route::result::refuse;
-        where.error = not_run(sqlstate::invalid_catalog_name,
-                              "the database is no longer in the bundle");
+        where.error = not_run_error(sqlstate::invalid_catalog_name,
+                                    "the database is no longer in the bundle");
         return where;
     }
     if (group->primary) {
--- a/src/protocol/caller_protocol.cpp
+++ b/src/protocol/caller_protocol.cpp
@@ -285,12 +285,8 @@
 
 auto caller_protocol::end_if_idle() -> caller_events
 {
-    auto events = advance();
     end_between_statements();
-    for (auto& event : std::exchange(events_, {})) {
-        events.push_back(std::move(event));
-    }
-    return events;
+    return std::exchange(events_, {});
 }
 
 auto caller_protocol::end_between_statements() -> void
--- a/src/transport/caller_server.cpp
+++ b/src/transport/caller_server.cpp
@@ -1,5 +1,7 @@
 #include <rhubarbrun/transport/caller_server.hpp>
 
+#include "acceptor.hpp"
+
 #include <rhubarbrun/coordination/cancel_keys.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
@@ -428,11 +430,7 @@
       acceptor_(strand_),
       pause_(strand_)
 {
-    acceptor_.open(options_.listen.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(options_.listen);
-    acceptor_.listen();
-    port_ = acceptor_.local_endpoint().port();
+    port_ = detail::listen_at(acceptor_, options_.listen).port();
 }
 
 auto caller_server::shared_state::start() -> void
--- a/src/transport/control_client.cpp
+++ b/src/transport/control_client.cpp
@@ -26,11 +26,6 @@
 /// Commands whose answer is awaited; older ones are forgotten.
 constexpr auto most_commands = std::size_t{1024};
 
-auto milliseconds(std::int64_t count) -> duration
-{
-    return std::chrono::milliseconds(count);
-}
-
 } // namespace
 
 control_client::control_client(asio::io_context& context,
--- a/src/transport/entry_router.cpp
+++ b/src/transport/entry_router.cpp
@@ -10,13 +10,6 @@
 
 constexpr auto latency_window_length = std::chrono::minutes(1);
 
-auto not_run(std::string_view code, std::string message,
-             duration retry_after = {}) -> request_error
-{
-    return {verdict::not_run, std::string(code), std::move(message),
-            retry_after};
-}
-
 auto summary_of(const execute_reply& reply) -> entry_reply
 {
     auto result = entry_reply{};
@@ -89,14 +82,15 @@
         const auto lock = std::lock_guard(mutex_);
         const auto view = hooks_.view();
         const auto seen = entry_view{hooks_.now(), *view, hooks_.is_ready()};
-        todo = prepare(decide(seen), reply);
+        todo = prepare(seen.now, decide(seen), reply);
     }
     for (const auto& each : todo) {
         each();
     }
 }
 
-auto entry_router::prepare(entry_actions actions, execute_reply& reply) -> steps
+auto entry_router::prepare(time_point now, entry_actions actions,
+                           execute_reply& reply) -> steps
 {
     auto todo = steps{};
     todo.reserve(actions.size());
@@ -111,7 +105,7 @@
             todo.push_back(prepare_query(*query));
         } else {
             todo.push_back(prepare_answer(
-                std::get<answer_action>(std::move(action)), reply));
+                now, std::get<answer_action>(std::move(action)), reply));
         }
     }
     return todo;
@@ -155,12 +149,7 @@
             return;
         }
         // The target was given up since the request was routed.
-        auto refused = execute_reply{};
-        refused.id = message.id;
-        refused.error = not_run(sqlstate::cannot_connect_now,
-                                "this proxy does not own the target");
-        refused.reroute = reroute_hint::try_again;
-        answer(std::move(refused));
+        answer(not_owned_reply(message.id));
     };
 }
 
@@ -198,8 +187,8 @@
     };
 }
 
-auto entry_router::prepare_answer(answer_action action, execute_reply& reply)
-    -> step
+auto entry_router::prepare_answer(time_point now, answer_action action,
+                                  execute_reply& reply) -> step
 {
     auto result = execute_reply{};
     if (action.id == reply.id) {
@@ -212,7 +201,7 @@
     const auto caller = callers_.find(action.session);
     if (caller != callers_.end()) {
         if (!result.error) {
-            note_latency(caller->second, action.is_at_replica);
+            note_latency(now, caller->second, action.is_at_replica);
         }
         caller->second.request = {};
     }
@@ -222,10 +211,9 @@
     };
 }
 
-auto entry_router::note_latency(const caller_state& caller, bool is_at_replica)
-    -> void
+auto entry_router::note_latency(time_point now, const caller_state& caller,
+                                bool is_at_replica) -> void
 {
-    const auto now = hooks_.now();
     auto& window = !caller.request.is_read_only ? latencies_.writes
                    : is_at_replica              ? latencies_.replica_reads
                                                 : latencies_.primary_reads;
@@ -247,25 +235,25 @@
         hooks_.refuse(session, std::move(error));
     };
     if (!hooks_.is_ready()) {
-        refuse(not_run(sqlstate::cannot_connect_now,
-                       "this proxy has no contact with control",
-                       std::chrono::seconds(1)));
+        refuse(not_run_error(sqlstate::cannot_connect_now,
+                             "this proxy has no contact with control",
+                             std::chrono::seconds(1)));
         return;
     }
     const auto view = hooks_.view();
     const auto* const group = view->find_by_database(start.database);
     if (group == nullptr) {
-        refuse(not_run(sqlstate::invalid_catalog_name,
-                       "database \"" + start.database +
-                           "\" is not in the bundle in force"));
+        refuse(not_run_error(sqlstate::invalid_catalog_name,
+                             "database \"" + start.database +
+                                 "\" is not in the bundle in force"));
         return;
     }
     auto token = session_token{};
     if (!start.session_token.empty()) {
         auto parsed = parse_session_token(start.session_token);
         if (auto* const error = std::get_if<session_token_error>(&parsed)) {
-            refuse(not_run(sqlstate::invalid_parameter_value,
-                           "session token: " + error->message));
+            refuse(not_run_error(sqlstate::invalid_parameter_value,
+                                 "session token: " + error->message));
             return;
         }
         token = std::get<session_token>(std::move(parsed));
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,7 @@
 #include <rhubarbrun/transport/http_server.hpp>
 
+#include "acceptor.hpp"
+
 #include <rhubarbrun/transport/event_log.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -126,11 +128,7 @@
 
     auto listen(const tcp::endpoint& endpoint) -> tcp::endpoint
     {
-        acceptor_.open(endpoint.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(endpoint);
-        acceptor_.listen();
-        auto bound = acceptor_.local_endpoint();
+        auto bound = detail::listen_at(acceptor_, endpoint);
         asio::post(acceptor_.get_executor(),
                    [self = shared_from_this()] { self->accept(); });
         return bound;
--- a/src/transport/owned_target.cpp
+++ b/src/transport/owned_target.cpp
@@ -18,11 +18,6 @@
 /// which replicas follow it.
 constexpr auto idle_poll_interval = std::chrono::milliseconds(250);
 
-auto milliseconds(std::int64_t count) -> duration
-{
-    return std::chrono::milliseconds(count);
-}
-
 auto monitor_options(const bundle_timings& timings) -> target_monitor_options
 {
     auto options = target_monitor_options{};
--- a/src/transport/owned_target_jobs.cpp
+++ b/src/transport/owned_target_jobs.cpp
@@ -13,12 +13,6 @@
 /// A transaction whose caller sends nothing for this long is rolled back.
 constexpr auto idle_transaction_limit = std::chrono::seconds(60);
 
-auto make_error(verdict outcome, std::string_view code, std::string message)
-    -> request_error
-{
-    return {outcome, std::string(code), std::move(message)};
-}
-
 auto refused_reply(request_error error, reroute_hint reroute) -> execute_reply
 {
     auto reply = execute_reply{};
@@ -66,6 +60,16 @@
 
 } // namespace
 
+auto not_owned_reply(request_id id) -> execute_reply
+{
+    auto reply =
+        refused_reply(not_run_error(sqlstate::cannot_connect_now,
+                                    "this proxy does not own the target"),
+                      reroute_hint::try_again);
+    reply.id = id;
+    return reply;
+}
+
 auto owned_target::submit(execute_request request, link_id link,
                           reply_function reply) -> void
 {
--- a/src/transport/owned_target_keys.cpp
+++ b/src/transport/owned_target_keys.cpp
@@ -13,13 +13,6 @@
 
 namespace {
 
-auto simple(std::string text) -> statement
-{
-    auto body = statement{};
-    body.text = std::move(text);
-    return body;
-}
-
 /// Tag of the last CommandComplete in an encoded answer.
 auto last_command_tag(std::string_view answer) -> std::string
 {
@@ -150,7 +143,7 @@
                                         target_result answer) -> void
 {
     run_statement(
-        ticket, simple("ROLLBACK"),
+        ticket, simple_statement("ROLLBACK"),
         [this, ticket,
          answer = std::move(answer)](const target_result& result) mutable {
             answer.status = result.status;
--- a/src/transport/owned_target_roles.cpp
+++ b/src/transport/owned_target_roles.cpp
@@ -1,3 +1,5 @@
+#include <rhubarbrun/coordination/failover_plan.hpp>
+#include <rhubarbrun/state/overloaded.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/owned_target.hpp>
 #include <rhubarbrun/transport/target_probe.hpp>
@@ -41,14 +43,6 @@
     }
 }
 
-template <class... Handlers>
-struct overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 } // namespace
 
 auto owned_target::advance_role() -> void
@@ -337,7 +331,8 @@
         log_role("primary_suspected");
         failover_ = make_failover(false);
         failover_->set_live_others(hooks_.live_others());
-        carry_out(failover_->on_suspected(now, other_proxies()));
+        carry_out(failover_->on_suspected(
+            now, confirmation_order(*view_, options_.self.id)));
     } else if (record_.presence != target_presence::present) {
         replace_leaving_primary(now);
     }
@@ -348,10 +343,7 @@
     if (!leaving_since_) {
         leaving_since_ = now;
     }
-    // The group takes no writes meanwhile, unlike during a handover between
-    // proxies; the whole wait would exceed the write gap of 2 s.
-    const auto limit = std::chrono::milliseconds(timings_.handover_wait_ms) / 2;
-    if (now - *leaving_since_ >= limit) {
+    if (now - *leaving_since_ >= leaving_primary_wait(timings_)) {
         for (const auto& pin : pins_.expire(now, duration::zero())) {
             release(pin);
         }
@@ -374,57 +366,16 @@
 auto owned_target::make_failover(bool is_planned) const
     -> std::unique_ptr<failover>
 {
-    auto group = failover_group{};
-    group.id = group_.config.id;
-    group.current_term = group_.primary->group_term;
-    group.primary = options_.id;
-    group.acknowledge = group_.config.acknowledge;
-    for (const auto& member : view_->targets_of(group_.config.id)) {
-        if (member == options_.id) {
-            continue;
-        }
-        group.others.push_back(member);
-        const auto presence = view_->find_target(member)->presence;
-        const auto is_excluded =
-            presence == target_presence::gone ||
-            (is_planned && presence == target_presence::leaving);
-        if (is_excluded) {
-            group.excluded.insert(member);
-        }
-    }
-    if (is_planned && group.excluded.size() == group.others.size()) {
+    auto plan = plan_failover(*view_, group_, is_planned);
+    if (!plan) {
         return nullptr;
     }
-    if (prepared_term_ == group.current_term) {
-        group.highest_acknowledged = timeline_position{
+    if (prepared_term_ == plan->current_term) {
+        plan->highest_acknowledged = timeline_position{
             prepared_timeline_, acknowledger_.highest_acknowledged()};
     }
-    auto options = failover_options{};
-    options.isolation_limit = std::chrono::milliseconds(
-        timings_.lease_ms + timings_.lease_renewal_ms);
-    return std::make_unique<failover>(std::move(group), options);
-}
-
-auto owned_target::other_proxies() const -> std::vector<proxy_id>
-{
-    // Those of other zones first: a failure of the own zone would make all
-    // proxies of this zone agree with each other.
-    const auto* const own = view_->find_proxy(options_.self.id);
-    auto near = std::vector<proxy_id>{};
-    auto far = std::vector<proxy_id>{};
-    auto draining = std::vector<proxy_id>{};
-    for (const auto& [id, record] : view_->proxies()) {
-        if (id == options_.self.id) {
-            continue;
-        }
-        // A draining proxy holds its lease and answers until it exits.
-        const auto is_near = own != nullptr && own->zone == record.zone;
-        auto& list = record.is_draining ? draining : is_near ? near : far;
-        list.push_back(id);
-    }
-    far.insert(far.end(), near.begin(), near.end());
-    far.insert(far.end(), draining.begin(), draining.end());
-    return far;
+    return std::make_unique<failover>(std::move(*plan),
+                                      failover_options_for(timings_));
 }
 
 auto owned_target::carry_out(const std::vector<failover_action>& actions)
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbrun/transport/peer_links.hpp>
 
+#include "acceptor.hpp"
 #include "peer_connection.hpp"
 
 #include <rhubarbrun/transport/event_log.hpp>
@@ -51,11 +52,7 @@
 
     auto listen(const tcp::endpoint& endpoint) -> tcp::endpoint
     {
-        acceptor_.open(endpoint.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(endpoint);
-        acceptor_.listen();
-        auto bound = acceptor_.local_endpoint();
+        auto bound = detail::listen_at(acceptor_, endpoint);
         asio::post(acceptor_.get_executor(),
                    [self = shared_from_this()] { self->accept(); });
         return bound;
--- a/src/transport/proxy_node_messages.cpp
+++ b/src/transport/proxy_node_messages.cpp
@@ -26,17 +26,6 @@
 /// statement, and the time for a confirmation is over.
 constexpr auto unsent_lifetime = std::chrono::seconds(1);
 
-auto not_owned_reply(request_id id) -> execute_reply
-{
-    auto reply = execute_reply{};
-    reply.id = id;
-    reply.error = request_error{verdict::not_run,
-                                std::string(sqlstate::cannot_connect_now),
-                                "this proxy does not own the target"};
-    reply.reroute = reroute_hint::try_again;
-    return reply;
-}
-
 } // namespace
 
 auto proxy_node::on_directory(const directory_view& view) -> void
--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -17,16 +17,6 @@
 
 using result_pointer = std::unique_ptr<PGresult, decltype(&PQclear)>;
 
-auto make_error(verdict outcome, std::string_view code, std::string message)
-    -> request_error
-{
-    auto error = request_error{};
-    error.outcome = outcome;
-    error.code = code;
-    error.message = std::move(message);
-    return error;
-}
-
 } // namespace
 
 auto target_application_name(const proxy_id& vm, owner_epoch epoch)
--- a/src/transport/target_pool.cpp
+++ b/src/transport/target_pool.cpp
@@ -5,17 +5,6 @@
 
 namespace rhubarbrun::inline v1 {
 
-namespace {
-
-auto probe_statement() -> statement
-{
-    auto body = statement{};
-    body.text = "SELECT 1";
-    return body;
-}
-
-} // namespace
-
 target_pool::target_pool(const target_pool_options& options,
                          target_pool_hooks hooks)
     : options_(options),
@@ -190,7 +179,7 @@
     entry.state = phase::probing;
     silence_.on_probe_sent(now, id);
     entry.connection->run(
-        probe_statement(), options_.silence.probe_timeout,
+        simple_statement("SELECT 1"), options_.silence.probe_timeout,
         [self = weak_from_this(), id](const target_result& result) {
             const auto pool = self.lock();
             if (!pool || !pool->members_.contains(id)) {
--- a/src/transport/target_queries.cpp
+++ b/src/transport/target_queries.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-auto simple(std::string text) -> statement
-{
-    auto body = statement{};
-    body.text = std::move(text);
-    return body;
-}
-
 auto parameterized(std::string text, std::vector<std::string> values)
     -> statement
 {
@@ -104,7 +97,7 @@
     // A primary's timeline is read from the name of its log file, as the
     // control file keeps the old one until the first checkpoint after a
     // promotion.
-    return simple(
+    return simple_statement(
         "SELECT pg_is_in_recovery(), "
         "CASE WHEN pg_is_in_recovery() THEN coalesce("
         "(SELECT received_tli FROM pg_stat_wal_receiver), "
@@ -149,9 +142,10 @@
 
 auto replica_states_query() -> statement
 {
-    return simple("SELECT application_name, state, "
-                  "coalesce(write_lsn, '0/0'), coalesce(flush_lsn, '0/0'), "
-                  "coalesce(replay_lsn, '0/0') FROM pg_stat_replication");
+    return simple_statement(
+        "SELECT application_name, state, "
+        "coalesce(write_lsn, '0/0'), coalesce(flush_lsn, '0/0'), "
+        "coalesce(replay_lsn, '0/0') FROM pg_stat_replication");
 }
 
 auto parse_replica_states(std::string_view answer)
@@ -181,8 +175,8 @@
 
 auto promote_query(std::uint32_t wait_seconds) -> statement
 {
-    return simple("SELECT pg_promote(true, " + std::to_string(wait_seconds) +
-                  ")");
+    return simple_statement("SELECT pg_promote(true, " +
+                            std::to_string(wait_seconds) + ")");
 }
 
 auto parse_promote(std::string_view answer) -> std::optional<bool>
@@ -205,9 +199,9 @@
         " port=" + std::to_string(port) +
         " user=" + quote_connection_value(user) +
         " application_name=" + quote_connection_value(name.value());
-    return {simple("ALTER SYSTEM SET primary_conninfo = " +
-                   quote_literal(connection)),
-            simple("SELECT pg_reload_conf()")};
+    return {simple_statement("ALTER SYSTEM SET primary_conninfo = " +
+                             quote_literal(connection)),
+            simple_statement("SELECT pg_reload_conf()")};
 }
 
 auto terminate_older_query(owner_epoch epoch) -> statement
@@ -243,19 +237,20 @@
 
 auto create_request_table_query() -> statement
 {
-    return simple("CREATE TABLE IF NOT EXISTS rhubarbrun_request ("
-                  "request_key text PRIMARY KEY, "
-                  "tag text NOT NULL DEFAULT '', "
-                  "recorded_at timestamptz NOT NULL DEFAULT now())");
+    return simple_statement("CREATE TABLE IF NOT EXISTS rhubarbrun_request ("
+                            "request_key text PRIMARY KEY, "
+                            "tag text NOT NULL DEFAULT '', "
+                            "recorded_at timestamptz NOT NULL DEFAULT now())");
 }
 
 auto begin_request_query(std::string_view begin, const request_key& key)
     -> statement
 {
     // A comment at the end of the caller's text must not hide the insert.
-    return simple(std::string(begin) +
-                  "\n; INSERT INTO rhubarbrun_request (request_key) VALUES (" +
-                  quote_text(key.value()) + ") ON CONFLICT DO NOTHING");
+    return simple_statement(
+        std::string(begin) +
+        "\n; INSERT INTO rhubarbrun_request (request_key) VALUES (" +
+        quote_text(key.value()) + ") ON CONFLICT DO NOTHING");
 }
 
 auto parse_begin_request(std::string_view answer) -> std::optional<bool>
@@ -276,9 +271,9 @@
 auto commit_request_query(const request_key& key, std::string_view tag)
     -> statement
 {
-    return simple("UPDATE rhubarbrun_request SET tag = " + quote_text(tag) +
-                  " WHERE request_key = " + quote_text(key.value()) +
-                  "; COMMIT");
+    return simple_statement(
+        "UPDATE rhubarbrun_request SET tag = " + quote_text(tag) +
+        " WHERE request_key = " + quote_text(key.value()) + "; COMMIT");
 }
 
 auto find_request_query(const request_key& key) -> statement
--- a/tests/coordination/scenario_owner.cpp
+++ b/tests/coordination/scenario_owner.cpp
@@ -1,5 +1,8 @@
 #include "scenario_owner.hpp"
 
+#include <rhubarbrun/coordination/failover_plan.hpp>
+#include <rhubarbrun/state/overloaded.hpp>
+
 #include <algorithm>
 
 namespace rhubarbrun::tests {
@@ -18,11 +21,6 @@
 /// Time that a promotion takes at a server.
 constexpr auto promotion_time = duration(200ms);
 
-auto milliseconds(std::int64_t count) -> duration
-{
-    return std::chrono::milliseconds(count);
-}
-
 auto detector_options(const bundle_timings& timings) -> failure_detector_options
 {
     return {milliseconds(timings.probe_interval_ms),
@@ -42,14 +40,6 @@
     return out;
 }
 
-template <class... Handlers>
-struct overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 } // namespace
 
 scenario_owner::scenario_owner(scenario_network& network, proxy_identity self,
@@ -359,7 +349,8 @@
     } else if (detector_.has_failed(now()) && may_start_failover()) {
         failover_ = make_failover(false);
         failover_->set_live_others(hooks_.live_others());
-        carry_out(failover_->on_suspected(now(), other_proxies()));
+        carry_out(failover_->on_suspected(
+            now(), confirmation_order(hooks_.view(), self_.id)));
     } else if (record_.presence != target_presence::present) {
         replace_leaving_primary();
     }
@@ -377,10 +368,7 @@
     if (!leaving_since_) {
         leaving_since_ = now();
     }
-    // The group takes no writes meanwhile, unlike during a handover between
-    // proxies; the whole wait would exceed the write gap of 2 s.
-    const auto limit = milliseconds(timings_.handover_wait_ms) / 2;
-    if (now() - *leaving_since_ >= limit) {
+    if (now() - *leaving_since_ >= leaving_primary_wait(timings_)) {
         for (const auto& pin : pins_.expire(now(), duration::zero())) {
             release(pin);
         }
@@ -400,53 +388,16 @@
 auto scenario_owner::make_failover(bool is_planned) const
     -> std::unique_ptr<failover>
 {
-    auto group = failover_group{};
-    group.id = group_.config.id;
-    group.current_term = group_.primary->group_term;
-    group.primary = id_;
-    group.acknowledge = group_.config.acknowledge;
-    for (const auto& member : hooks_.view().targets_of(group_.config.id)) {
-        if (member == id_) {
-            continue;
-        }
-        group.others.push_back(member);
-        const auto presence = hooks_.view().find_target(member)->presence;
-        const auto is_excluded =
-            presence == target_presence::gone ||
-            (is_planned && presence == target_presence::leaving);
-        if (is_excluded) {
-            group.excluded.insert(member);
-        }
-    }
-    if (is_planned && group.excluded.size() == group.others.size()) {
+    auto plan = plan_failover(hooks_.view(), group_, is_planned);
+    if (!plan) {
         return nullptr;
     }
-    if (prepared_term_ == group.current_term && state_) {
-        group.highest_acknowledged = timeline_position{
+    if (prepared_term_ == plan->current_term && state_) {
+        plan->highest_acknowledged = timeline_position{
             state_->timeline, acknowledger_.highest_acknowledged()};
     }
-    auto options = failover_options{};
-    options.isolation_limit =
-        milliseconds(timings_.lease_ms + timings_.lease_renewal_ms);
-    return std::make_unique<failover>(std::move(group), options);
-}
-
-auto scenario_owner::other_proxies() const -> std::vector<proxy_id>
-{
-    auto near = std::vector<proxy_id>{};
-    auto far = std::vector<proxy_id>{};
-    auto draining = std::vector<proxy_id>{};
-    const auto* const own = hooks_.view().find_proxy(self_.id);
-    for (const auto& [id, proxy] : hooks_.view().proxies()) {
-        if (id != self_.id) {
-            const auto is_near = own != nullptr && own->zone == proxy.zone;
-            auto& list = proxy.is_draining ? draining : is_near ? near : far;
-            list.push_back(id);
-        }
-    }
-    far.insert(far.end(), near.begin(), near.end());
-    far.insert(far.end(), draining.begin(), draining.end());
-    return far;
+    return std::make_unique<failover>(std::move(*plan),
+                                      failover_options_for(timings_));
 }
 
 auto scenario_owner::carry_out(const std::vector<failover_action>& actions)
--- a/tests/coordination/scenario_owner.hpp
+++ b/tests/coordination/scenario_owner.hpp
@@ -178,7 +178,6 @@
     auto replace_leaving_primary() -> void;
     [[nodiscard]] auto make_failover(bool is_planned) const
         -> std::unique_ptr<failover>;
-    [[nodiscard]] auto other_proxies() const -> std::vector<proxy_id>;
     [[nodiscard]] auto may_start_failover() const -> bool;
     auto carry_out(const std::vector<failover_action>& actions) -> void;
     auto read_status_of(const target_id& target) -> void;
--- a/tests/coordination/scenario_proxy_control.cpp
+++ b/tests/coordination/scenario_proxy_control.cpp
@@ -20,11 +20,6 @@
 /// Time for a connection attempt when another proxy asks for it.
 constexpr auto confirm_limit = duration(200ms);
 
-auto milliseconds(std::int64_t count) -> duration
-{
-    return std::chrono::milliseconds(count);
-}
-
 } // namespace
 
 scenario_proxy::scenario_proxy(scenario_network& network, std::string name,
