--- a/include/rhubarbrun/coordination/consensus.hpp
+++ b/include/rhubarbrun/coordination/consensus.hpp
@@ -133,6 +133,10 @@
     /// once a quorum confirmed this member's leadership.
     [[nodiscard]] auto read_index(time_point now) -> read_result;
 
+    /// Other names that a member outside the group asks to let it join, such
+    /// as the current seeds; they replace those of the last call.
+    auto set_contacts(std::vector<member_id> contacts) -> void;
+
     /// Whether no other member can have become leader before `now`, and all
     /// entries that earlier leaders committed are committed here.
     ///
--- a/include/rhubarbrun/coordination/consensus_options.hpp
+++ b/include/rhubarbrun/coordination/consensus_options.hpp
@@ -29,8 +29,17 @@
 struct consensus_options
 {
     /// Names of all control members of the deployment, this one included. Only
-    /// these are admitted when they ask to join.
+    /// these are admitted when they ask to join, unless `admits_others` is set.
     std::vector<member_id> members;
+    /// Whether members with other names are admitted, where the deployment has
+    /// no fixed list. `members` then names the founders, and this member need
+    /// not be one of them.
+    bool admits_others = false;
+    /// A voter that did not answer for this long is removed by the leader, as
+    /// long as `voters_kept` voters remain. Zero keeps every voter.
+    duration removal_silence = duration::zero();
+    /// Voters that removal leaves at least.
+    std::size_t voters_kept = 0;
     /// Whether this member takes part in founding a new group.
     bool is_founding = false;
 
--- /dev/null
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -0,0 +1,182 @@
+#ifndef RHUBARBRUN_COORDINATION_SERVER_POOL_HPP
+#define RHUBARBRUN_COORDINATION_SERVER_POOL_HPP
+
+#include <rhubarbrun/coordination/data_path_ids.hpp>
+#include <rhubarbrun/coordination/server_directory.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Why a connection to a server could not be opened.
+enum class connect_failure : std::uint8_t
+{
+    /// Nothing listens at the address.
+    refused,
+    /// No answer in time, or the connection broke.
+    unreachable,
+    /// The server has no free connection.
+    connection_limit,
+    /// Another server answered.
+    wrong_server,
+};
+
+/// Settings of a `server_pool`.
+struct server_pool_options
+{
+    zone_id zone;
+    /// Region of each availability zone.
+    std::map<zone_id, std::string> regions;
+    /// Connections to one server that this process may use, as a divisor of
+    /// the server's limit; several processes share that limit.
+    std::uint32_t connection_share_divisor = 6;
+    std::uint32_t connections_minimum = 4;
+    /// Idle connections beyond the first are closed after this long.
+    duration idle_limit = std::chrono::seconds(20);
+};
+
+/// Which servers a process may use, and its connections to them.
+///
+/// It decides which server should run a statement, and whether to open a
+/// connection. It does no I/O.
+class server_pool
+{
+public:
+    /// Opens a connection; the outcome is told with `on_connected` or
+    /// `on_connect_failed`.
+    using open_function =
+        std::function<void(connection_id, const server_record&)>;
+    using close_function = std::function<void(connection_id)>;
+
+    /// What a caller of `choose` needs.
+    struct demand
+    {
+        group_id group;
+        /// The server must be the primary.
+        bool is_primary_needed = false;
+        /// Servers that already refused the statement.
+        const std::set<target_id>* excluded = nullptr;
+        /// Statements that wait for a connection of the group, this included.
+        std::size_t waiting = 1;
+    };
+
+    /// Health of one server as seen from this process.
+    struct server_health
+    {
+        target_id id;
+        /// Last answer of the server, if there was one.
+        std::optional<time_point> answered_at;
+        /// Set while attempts to use the server fail.
+        std::optional<time_point> failing_since;
+    };
+
+    server_pool(server_pool_options options, open_function open,
+                close_function close);
+
+    /// Takes over a changed record.
+    auto update(time_point now, const server_record& record) -> void;
+    auto set_connection_limit(const group_id& group, std::uint32_t limit)
+        -> void;
+
+    /// An idle connection to the best server, which is then in use; no value
+    /// if there is none, after opening one where that helps.
+    [[nodiscard]] auto choose(time_point now, const demand& need)
+        -> std::optional<connection_id>;
+
+    /// Whether a server that may take the statement is known and not failing.
+    [[nodiscard]] auto is_served(time_point now, const demand& need) const
+        -> bool;
+
+    auto on_connected(time_point now, connection_id id) -> void;
+    auto on_connect_failed(time_point now, connection_id id,
+                           connect_failure reason) -> void;
+    /// An answer arrived that took `latency`.
+    auto on_answer(time_point now, connection_id id, duration latency) -> void;
+    /// The statement on the connection got no answer in time.
+    auto on_silence(time_point now, connection_id id) -> void;
+    /// The server refuses statements that need the primary.
+    auto on_not_primary(const target_id& id) -> void;
+    /// The server proved to be the primary.
+    auto on_primary(const target_id& id) -> void;
+    /// The server lacks commits that reads require.
+    auto on_lagging(time_point now, const target_id& id) -> void;
+    /// The server refused a statement because it is full.
+    auto on_full(time_point now, const target_id& id) -> void;
+    /// The connection is free again.
+    auto release(time_point now, connection_id id) -> void;
+    /// The connection is gone or must be closed by the caller.
+    auto forget(time_point now, connection_id id, bool is_failure) -> void;
+
+    /// Closes connections that are not used; returns when to call again.
+    auto tick(time_point now) -> time_point;
+
+    [[nodiscard]] auto server_of(connection_id id) const -> target_id;
+    [[nodiscard]] auto group_of(connection_id id) const -> group_id;
+    [[nodiscard]] auto health() const -> std::vector<server_health>;
+    /// Whether some server of the group claims to be primary.
+    [[nodiscard]] auto primary_of(const group_id& group) const
+        -> std::optional<target_id>;
+
+private:
+    struct server
+    {
+        server_record record;
+        /// Revision of the last claim to be primary, 0 for none.
+        std::uint64_t claim = 0;
+        /// A statement that needs the primary was refused since the claim.
+        bool is_claim_refused = false;
+        std::size_t open = 0;
+        std::size_t connecting = 0;
+        std::size_t busy = 0;
+        std::vector<connection_id> idle;
+        double latency_us = 0;
+        time_point sampled_at;
+        time_point avoid_until;
+        time_point lagging_until;
+        time_point full_until;
+        time_point no_connections_until;
+        std::size_t failures = 0;
+        std::optional<time_point> answered_at;
+        std::optional<time_point> failing_since;
+        std::optional<time_point> draining_since;
+    };
+    struct connection
+    {
+        target_id server;
+        bool is_idle = false;
+        time_point used_at;
+    };
+
+    [[nodiscard]] auto may_use(time_point now, const server& each,
+                               const demand& need) const -> bool;
+    [[nodiscard]] auto score(time_point now, const server& each,
+                             bool is_primary_needed) const -> double;
+    [[nodiscard]] auto base_latency(const server& each) const -> double;
+    [[nodiscard]] auto connection_limit(const server& each) const
+        -> std::size_t;
+    [[nodiscard]] auto may_open(time_point now, const server& each,
+                                const demand& need) const -> bool;
+    auto open(time_point now, server& each) -> void;
+    auto close_idle(time_point now, server& each, std::size_t kept,
+                    duration older_than) -> void;
+    [[nodiscard]] auto is_primary(const server& each) const -> bool;
+    auto fail(time_point now, server& each) -> void;
+
+    server_pool_options options_;
+    open_function open_;
+    close_function close_;
+    std::map<target_id, server> servers_;
+    std::map<connection_id, connection> connections_;
+    std::map<group_id, std::uint32_t> limits_;
+    std::uint64_t last_connection_ = 0;
+    std::uint64_t last_claim_ = 0;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -48,6 +48,11 @@
     position_answer = 84,
     /// Since version 2.
     forward_cancel = 85,
+    /// Views of servers and configuration; see view_messages.hpp.
+    server_announcements = 96,
+    view_request = 97,
+    view_update = 98,
+    sighting_report = 99,
 };
 
 /// One authenticated message.
--- /dev/null
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -0,0 +1,94 @@
+#ifndef RHUBARBRUN_PROTOCOL_VIEW_MESSAGES_HPP
+#define RHUBARBRUN_PROTOCOL_VIEW_MESSAGES_HPP
+
+#include <rhubarbrun/protocol/strict_archive.hpp>
+#include <rhubarbrun/state/server_record.hpp>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Control member to the others: announcements that it received.
+struct server_announcements
+{
+    std::vector<server_record> records;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(records);
+    }
+};
+
+/// What a proxy sees of one server; times are in milliseconds before sending,
+/// -1 for never.
+struct sighting_record
+{
+    target_id server;
+    std::int64_t answered_ago_ms = -1;
+    std::int64_t failing_for_ms = -1;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(server, answered_ago_ms, failing_for_ms);
+    }
+};
+
+/// Control member to the leader: what a proxy told it.
+struct sighting_report
+{
+    std::string proxy;
+    std::vector<sighting_record> sightings;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(proxy, sightings);
+    }
+};
+
+/// Proxy to control, at regular intervals: asks for changes from now on.
+struct view_request
+{
+    /// Version of the configuration that the proxy holds.
+    std::uint64_t configuration_version = 0;
+    sighting_report report;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(configuration_version, report);
+    }
+};
+
+/// Control to proxy, as an answer and whenever something changed.
+struct view_update
+{
+    /// Whether the sender is in contact with the leader, so that it learns of
+    /// every accepted configuration.
+    bool is_current = false;
+    std::uint64_t configuration_version = 0;
+    /// Empty if the proxy holds this version.
+    std::string configuration;
+    /// Changed since the last update on the link.
+    std::vector<server_record> servers;
+    /// Names of all control members, which are their IP addresses.
+    std::vector<std::string> control_members;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(is_current, configuration_version, configuration, servers,
+                control_members);
+    }
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/state/service_configuration.hpp
@@ -0,0 +1,88 @@
+#ifndef RHUBARBRUN_STATE_SERVICE_CONFIGURATION_HPP
+#define RHUBARBRUN_STATE_SERVICE_CONFIGURATION_HPP
+
+#include <rhubarbrun/state/ids.hpp>
+#include <rhubarbrun/state/units.hpp>
+
+#include <cstdint>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Name of a database as callers give it.
+using database_id = strong_id<struct database_id_tag, std::string>;
+
+/// Which commits a read of a route must see.
+enum class read_consistency : std::uint8_t
+{
+    /// Every commit that was acknowledged before the read arrived.
+    primary,
+    /// Commits that are older than the route's limit.
+    bounded_staleness,
+    /// The same, and all commits of the reading session.
+    read_your_writes,
+};
+
+/// How the requests of one database are served.
+struct database_route
+{
+    /// Unique name of the route.
+    std::string name;
+    database_id database;
+    /// Group of servers that holds the database.
+    group_id group;
+    read_consistency consistency = read_consistency::primary;
+    /// Age up to which a commit may be missing from a read; not used by
+    /// `read_consistency::primary`.
+    duration staleness_limit = duration::zero();
+    /// Time for a single statement.
+    duration statement_timeout = duration::zero();
+    /// Latency objective of a whole operation.
+    duration latency_objective = duration::zero();
+    /// 0 goes first.
+    std::uint32_t priority = 0;
+};
+
+/// Limits of a group of servers.
+struct server_group_limits
+{
+    /// Connections that one server accepts, from all callers together.
+    std::uint32_t connections_per_server = 1;
+    /// Replicas that must hold a commit before it is acknowledged.
+    std::uint32_t synchronous_replicas = 0;
+};
+
+/// A configuration that is not valid.
+class configuration_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// What a deployment serves: a complete, versioned configuration.
+struct service_configuration
+{
+    std::uint64_t version = 0;
+    std::map<database_id, database_route> routes;
+    std::map<group_id, server_group_limits> groups;
+    /// A transaction without a request for this long may be ended. Zero
+    /// stands for no limit.
+    duration transaction_idle_limit = duration::zero();
+
+    /// The route of a database, or null.
+    [[nodiscard]] auto find(const database_id& database) const noexcept
+        -> const database_route*;
+};
+
+/// Adds a route and checks it against the groups of `configuration`.
+/// @throws configuration_error if its group is not known, its database has a
+/// route already, or its statement timeout is not positive.
+auto add_route(service_configuration& configuration, database_route route)
+    -> void;
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -0,0 +1,117 @@
+#ifndef RHUBARBRUN_TRANSPORT_CONFIGURATION_NODE_HPP
+#define RHUBARBRUN_TRANSPORT_CONFIGURATION_NODE_HPP
+
+#include <rhubarbrun/coordination/consensus_options.hpp>
+#include <rhubarbrun/coordination/primary_supervisor.hpp>
+#include <rhubarbrun/coordination/server_directory.hpp>
+#include <rhubarbrun/protocol/secret_key.hpp>
+#include <rhubarbrun/state/configuration_history.hpp>
+#include <rhubarbrun/transport/asio.hpp>
+#include <rhubarbrun/transport/peer_links.hpp>
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Settings of a `configuration_node`.
+struct configuration_node_options
+{
+    /// IP address of this member, which is also its name.
+    std::string address;
+    /// Port for links between processes, the same at all of them.
+    std::uint16_t peer_port = 0;
+    std::filesystem::path data_directory;
+    /// Whether this is the first start of a new deployment.
+    bool is_founding = false;
+    /// Disks that may be lost at a time.
+    std::size_t tolerated_losses = 0;
+    /// IP addresses of some control members, read again whenever this member
+    /// looks for the group.
+    std::function<std::vector<std::string>()> seeds;
+    secret_key link_key;
+    peer_link_limits links;
+    consensus_options consensus;
+};
+
+/// What a `configuration_node` needs from its surroundings. Every hook is
+/// called on the thread of the io_context.
+struct configuration_node_hooks
+{
+    primary_supervisor_hooks supervisor;
+    /// A configuration is in force.
+    std::function<void(const configuration_document&)> on_configuration;
+    /// The node cannot go on; called once.
+    std::function<void(const std::string& reason)> on_failure;
+};
+
+/// How a submitted configuration ended.
+enum class submit_outcome : std::uint8_t
+{
+    /// It is durable, or overtaken by a higher version.
+    accepted,
+    /// Another member leads; see `configuration_node::leader`.
+    not_leader,
+    /// No statement can be made; submit it again.
+    unknown,
+};
+
+/// One control member: a replica of the configuration, and a view of the
+/// servers that it shares with the other members and with proxies.
+///
+/// The io_context must run on one thread.
+class configuration_node
+{
+public:
+    using submit_callback = std::function<void(submit_outcome)>;
+    /// Receives the newest configuration, or null if that is not certain.
+    using read_callback = std::function<void(const configuration_document*)>;
+
+    configuration_node(asio::io_context& context,
+                       configuration_node_options options,
+                       configuration_node_hooks hooks);
+    ~configuration_node();
+    configuration_node(const configuration_node&) = delete;
+    auto operator=(const configuration_node&) -> configuration_node& = delete;
+
+    /// Listens for other processes and joins the group.
+    /// @throws boost::system::system_error if the port cannot be used.
+    auto start() -> void;
+    auto stop() -> void;
+
+    auto submit(configuration_document document, submit_callback done) -> void;
+    auto read(read_callback done) -> void;
+    /// Takes an announcement in; returns false if it is outdated.
+    auto announce(const server_record& record) -> bool;
+    auto withdraw(const target_id& server) -> void;
+
+    /// To be called with the outcome of a hook of the supervisor.
+    auto on_status(const target_id& server,
+                   const std::optional<server_log_status>& status) -> void;
+    auto on_promotion(const group_id& group, promotion_outcome outcome) -> void;
+    auto set_synchronous_replicas(const group_id& group, std::uint32_t count)
+        -> void;
+
+    /// Number that orders this leader's commands after those of all earlier
+    /// ones; no value unless this member certainly leads now.
+    [[nodiscard]] auto fencing_token() const -> std::optional<std::uint64_t>;
+    /// Address of the leader as far as it is known.
+    [[nodiscard]] auto leader() const -> std::optional<std::string>;
+    /// Whether this member may lead.
+    [[nodiscard]] auto is_leader() const -> bool;
+    /// State on one line of JSON.
+    [[nodiscard]] auto dump() const -> std::string;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- a/include/rhubarbrun/transport/http_message.hpp
+++ b/include/rhubarbrun/transport/http_message.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace rhubarbrun::inline v1 {
 
@@ -37,6 +38,14 @@
     std::map<std::string, std::string> headers;
 };
 
+/// A response with status 200 and this body.
+[[nodiscard]] inline auto http_success(std::string body = "{}") -> http_response
+{
+    auto response = http_response{};
+    response.body = std::move(body);
+    return response;
+}
+
 /// A response with `{"error":"<message>"}` as its body.
 [[nodiscard]] auto http_error(unsigned status, std::string_view message)
     -> http_response;
--- a/include/rhubarbrun/transport/json.hpp
+++ b/include/rhubarbrun/transport/json.hpp
@@ -67,6 +67,14 @@
     {
         return std::holds_alternative<std::string>(content_);
     }
+    [[nodiscard]] auto is_number() const noexcept -> bool
+    {
+        return std::holds_alternative<std::int64_t>(content_);
+    }
+    [[nodiscard]] auto is_array() const noexcept -> bool
+    {
+        return std::holds_alternative<array>(content_);
+    }
 
     /// JSON text on one line.
     [[nodiscard]] auto print() const -> std::string;
--- /dev/null
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -0,0 +1,75 @@
+#ifndef RHUBARBRUN_TRANSPORT_VIEW_CLIENT_HPP
+#define RHUBARBRUN_TRANSPORT_VIEW_CLIENT_HPP
+
+#include <rhubarbrun/protocol/secret_key.hpp>
+#include <rhubarbrun/protocol/view_messages.hpp>
+#include <rhubarbrun/state/units.hpp>
+#include <rhubarbrun/transport/asio.hpp>
+#include <rhubarbrun/transport/peer_links.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Settings of a `view_client`.
+struct view_client_options
+{
+    /// IP address of this process, which is also its name.
+    std::string address;
+    /// Port for links between processes, the same at all of them.
+    std::uint16_t peer_port = 0;
+    /// IP addresses of some control members, read again whenever none answers.
+    std::function<std::vector<std::string>()> seeds;
+    secret_key link_key;
+    peer_link_limits links;
+    /// Time between requests.
+    duration interval = std::chrono::milliseconds(500);
+};
+
+/// What a `view_client` needs from its surroundings.
+struct view_client_hooks
+{
+    std::function<void(view_update)> on_update;
+    /// What to tell control about the servers.
+    std::function<std::vector<sighting_record>()> sightings;
+    /// Version of the configuration that this process holds.
+    std::function<std::uint64_t()> configuration_version;
+};
+
+/// Keeps a proxy's view of servers and configuration up to date.
+///
+/// It follows one control member, and moves on to another one if that is
+/// silent or out of contact with the leader. The io_context must run on one
+/// thread.
+class view_client
+{
+public:
+    view_client(asio::io_context& context, view_client_options options,
+                view_client_hooks hooks);
+    ~view_client();
+    view_client(const view_client&) = delete;
+    auto operator=(const view_client&) -> view_client& = delete;
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    /// Since the last update of a member that is in contact with the leader;
+    /// no value if there was none.
+    [[nodiscard]] auto age(time_point now) const -> std::optional<duration>;
+
+    /// Tells control at once what changed, without waiting for the interval.
+    auto report_soon() -> void;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/programs/rhubarbrun-platform.cpp
@@ -0,0 +1,121 @@
+#include "control_adapter.hpp"
+#include "proxy_adapter.hpp"
+
+#include <rhubarbrun/transport/event_log.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <string_view>
+
+namespace {
+
+using namespace rhubarbrun;
+using namespace rhubarbrun::platform;
+
+constexpr auto exit_usage = 2;
+/// Variable with the path of the platform's settings file.
+constexpr auto settings_variable = "RHUBARBRUN_NODE_FILE";
+
+constexpr auto usage =
+    "usage: rhubarbrun-platform proxy|control\n"
+    "Runs a proxy or a control member on the platform. The variable\n"
+    "RHUBARBRUN_NODE_FILE names its settings file.\n";
+
+/// Logs changes of the settings; seeds are read again whenever they are needed.
+auto watch_reload(asio::signal_set& signals) -> void
+{
+    signals.async_wait([&](error_code error, int) {
+        if (!error) {
+            log_event("settings_changed");
+            watch_reload(signals);
+        }
+    });
+}
+
+auto run_proxy(node_settings settings, seed_reader seeds) -> int
+{
+    auto context = asio::io_context(1);
+    auto reload = asio::signal_set(context, SIGHUP);
+    watch_reload(reload);
+    auto node = proxy_adapter(context, std::move(settings), std::move(seeds));
+    auto signals = asio::signal_set(context, SIGTERM, SIGINT);
+    signals.async_wait([&](error_code error, int) {
+        if (!error) {
+            node.drain([&] { context.stop(); });
+        }
+    });
+    node.start();
+    context.run();
+    return EXIT_SUCCESS;
+}
+
+auto run_control(node_settings settings, seed_reader seeds) -> int
+{
+    auto context = asio::io_context(1);
+    auto code = EXIT_SUCCESS;
+    auto reload = asio::signal_set(context, SIGHUP);
+    watch_reload(reload);
+    auto node = control_adapter(context, std::move(settings), std::move(seeds),
+                                [&](const std::string&) {
+                                    code = EXIT_FAILURE;
+                                    context.stop();
+                                });
+    auto signals = asio::signal_set(context, SIGTERM, SIGINT);
+    signals.async_wait([&](error_code error, int) {
+        if (!error) {
+            context.stop();
+        }
+    });
+    node.start();
+    context.run();
+    node.stop();
+    return code;
+}
+
+auto run(std::string_view role) -> int
+{
+    // Read once at start, before other threads could change the environment.
+    const auto* const path = std::getenv(settings_variable); // NOLINT
+    if (path == nullptr) {
+        std::cerr << settings_variable << " is not set\n";
+        return exit_usage;
+    }
+    auto settings = read_node_settings(path);
+    auto seeds = seed_reader(path, settings.seeds);
+    log_event("process_started")
+        .field("role", role)
+        .field("name", settings.name)
+        .field("address", settings.address)
+        .field("zone", settings.zone)
+        .field("first_start", settings.is_first_start);
+    const auto code = role == "proxy"
+                          ? run_proxy(std::move(settings), std::move(seeds))
+                          : run_control(std::move(settings), std::move(seeds));
+    log_event("process_stopped").field("exit_code", code);
+    return code;
+}
+
+} // namespace
+
+auto main(int argument_count, char** arguments) -> int
+{
+    const auto role = std::string_view(argument_count == 2 ? arguments[1] : "");
+    if (role != "proxy" && role != "control") {
+        std::cerr << usage;
+        return exit_usage;
+    }
+    start_event_log(arguments[0]);
+    try {
+        return run(role);
+    } catch (const node_settings_error& fault) {
+        std::cerr << fault.what() << '\n';
+        return exit_usage;
+    } catch (const std::exception& fault) {
+        log_event("process_failed", event_severity::error)
+            .field("reason", fault.what());
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/src/coordination/commit_observations.cpp
@@ -0,0 +1,64 @@
+#include <rhubarbrun/coordination/commit_observations.hpp>
+
+#include <algorithm>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Spacing of the observations that are kept; a finer one would only cost
+/// memory, as staleness limits are seconds.
+constexpr auto spacing = milliseconds(50);
+/// Longest staleness limit that can be served from replicas.
+constexpr auto longest_history = std::chrono::seconds(10);
+
+} // namespace
+
+auto commit_observations::observe(time_point asked_at, log_position position)
+    -> void
+{
+    if (position.group_term < first_of_term_.group_term) {
+        return;
+    }
+    if (position.group_term > first_of_term_.group_term) {
+        first_of_term_ = position;
+        observed_.clear();
+    }
+    first_of_term_ = std::min(first_of_term_, position);
+    if (!observed_.empty()) {
+        auto& last = observed_.back();
+        if (asked_at <= last.asked_at) {
+            return;
+        }
+        position = std::max(position, last.position);
+        if (observed_.size() > 1 &&
+            last.asked_at - observed_[observed_.size() - 2].asked_at < spacing)
+        {
+            last = {asked_at, position};
+            return;
+        }
+    }
+    observed_.push_back({asked_at, position});
+    while (asked_at - observed_.front().asked_at > longest_history) {
+        observed_.pop_front();
+    }
+}
+
+auto commit_observations::covering(time_point limit) const
+    -> std::optional<log_position>
+{
+    const auto found = std::lower_bound(
+        observed_.begin(), observed_.end(), limit,
+        [](const auto& each, time_point at) { return each.asked_at < at; });
+    if (found == observed_.end()) {
+        return std::nullopt;
+    }
+    return found->position;
+}
+
+auto commit_observations::translate(log_position seen) const -> log_position
+{
+    return seen.group_term < first_of_term_.group_term ? first_of_term_ : seen;
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/coordination/consensus.cpp
+++ b/src/coordination/consensus.cpp
@@ -87,6 +87,11 @@
     return core_->read_index(now);
 }
 
+auto consensus_member::set_contacts(std::vector<member_id> contacts) -> void
+{
+    core_->set_contacts(std::move(contacts));
+}
+
 auto consensus_member::has_leader_lease(time_point now) const noexcept -> bool
 {
     return core_->has_leader_lease(now);
--- a/src/coordination/consensus_core.cpp
+++ b/src/coordination/consensus_core.cpp
@@ -21,7 +21,8 @@
             "consensus timings must satisfy 0 < heartbeat interval < minimum "
             "election timeout <= maximum election timeout");
     }
-    if (!std::binary_search(options.members.begin(), options.members.end(),
+    if (!options.admits_others &&
+        !std::binary_search(options.members.begin(), options.members.end(),
                             self.id))
     {
         throw std::invalid_argument("member \"" + self.id.value() +
--- a/src/coordination/consensus_core.hpp
+++ b/src/coordination/consensus_core.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "consensus_entries.hpp"
@@ -37,6 +38,10 @@
                                        const member_identity& identity)
         -> propose_result;
     [[nodiscard]] auto read_index(time_point now) -> read_result;
+    auto set_contacts(std::vector<member_id> contacts) -> void
+    {
+        contacts_ = std::move(contacts);
+    }
     [[nodiscard]] auto has_leader_lease(time_point now) const noexcept -> bool;
     [[nodiscard]] auto is_leader() const noexcept -> bool
     {
@@ -149,6 +154,7 @@
     [[nodiscard]] auto propose_configuration(time_point now, membership next)
         -> log_index;
     auto promote_learners(time_point now) -> void;
+    auto remove_silent_voter(time_point now) -> void;
     auto tick_joining(time_point now) -> void;
     auto tick_founding(time_point now) -> void;
     auto found_group(time_point now) -> void;
@@ -191,6 +197,7 @@
     log_index first_own_;
     std::size_t uncommitted_bytes_ = 0;
     time_point next_heartbeat_;
+    time_point leading_since_;
     std::uint64_t round_ = 0;
     /// Heartbeat rounds that may still be answered, and when they were sent.
     std::map<std::uint64_t, time_point> rounds_;
@@ -200,6 +207,7 @@
 
     // Outside a configuration or without a leader.
     time_point next_join_;
+    std::vector<member_id> contacts_;
     std::map<member_id, member_identity> agreed_;
     std::map<member_id, std::string> refusals_;
 
--- a/src/coordination/consensus_membership.cpp
+++ b/src/coordination/consensus_membership.cpp
@@ -1,6 +1,7 @@
 #include "consensus_core.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace rhubarbrun::detail {
@@ -91,9 +92,37 @@
     }
     // A member that was removed without hearing of it asks as well; the leader
     // ignores members that it has.
-    for (const auto& id : options_.members) {
-        if (id != self_.id) {
-            send({id, incarnation(0)}, join_request{});
+    auto asked =
+        std::set<member_id>(options_.members.begin(), options_.members.end());
+    asked.insert(contacts_.begin(), contacts_.end());
+    for (const auto& member : log_.configuration().members) {
+        asked.insert(member.identity.id);
+    }
+    asked.erase(self_.id);
+    for (const auto& id : asked) {
+        send({id, incarnation(0)}, join_request{});
+    }
+}
+
+auto consensus_core::remove_silent_voter(time_point now) -> void
+{
+    const auto& configuration = log_.configuration();
+    if (options_.removal_silence <= duration::zero() ||
+        configuration.voter_count() <= options_.voters_kept ||
+        !change_obstacle().empty())
+    {
+        return;
+    }
+    for (const auto& member : configuration.members) {
+        const auto found = progress_.find(member.identity);
+        if (member.role != member_role::voter || found == progress_.end()) {
+            continue;
+        }
+        const auto heard = std::max(found->second.heard_at(), leading_since_);
+        if (now - heard >= options_.removal_silence) {
+            static_cast<void>(propose_configuration(
+                now, configuration.without(member.identity)));
+            return;
         }
     }
 }
@@ -101,7 +130,8 @@
 auto consensus_core::on_join_request(time_point now,
                                      const member_identity& from) -> void
 {
-    const auto is_allowed = std::binary_search(options_.members.begin(),
+    const auto is_allowed = options_.admits_others ||
+                            std::binary_search(options_.members.begin(),
                                                options_.members.end(), from.id);
     if (!is_leader() || !is_allowed || !change_obstacle().empty()) {
         return;
@@ -131,7 +161,7 @@
 
 auto consensus_core::tick_founding(time_point now) -> void
 {
-    if (!options_.is_founding || !holds_nothing() ||
+    if (!options_.is_founding || !holds_nothing() || options_.members.empty() ||
         options_.members.front() != self_.id)
     {
         return;
--- /dev/null
+++ b/src/coordination/server_pool.cpp
@@ -0,0 +1,433 @@
+#include <rhubarbrun/coordination/server_pool.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// First and longest pause after a failed attempt to reach a server.
+constexpr auto first_backoff = milliseconds(150);
+constexpr auto last_backoff = milliseconds(1200);
+/// Pause after a server refused a connection because it has too many.
+constexpr auto connection_limit_pause = milliseconds(300);
+/// Time for a replica to receive and replay what it lacked.
+constexpr auto lagging_pause = milliseconds(250);
+/// Time in which a full server works off part of its queue.
+constexpr auto full_pause = milliseconds(40);
+/// Round trips and work of a statement, by distance, before there are samples.
+constexpr auto same_zone_latency_us = 15'000.0;
+constexpr auto same_region_latency_us = 17'000.0;
+constexpr auto other_region_latency_us = 50'000.0;
+/// Weight of a new latency sample.
+constexpr auto sample_weight = 0.2;
+/// A sample counts for nothing after this long, so that a server that was slow
+/// is tried again.
+constexpr auto sample_life = std::chrono::seconds(3);
+/// Reads at the primary take slots that only it has for writes.
+constexpr auto primary_read_penalty = 1.6;
+/// Work beyond one statement a slot waits in the server's queue.
+constexpr auto queue_weight = 0.7;
+/// A primary that leaves still takes work for this long, because its successor
+/// is being chosen; a replica takes none.
+constexpr auto leaving_primary_time = std::chrono::seconds(5);
+constexpr auto tick_interval = std::chrono::seconds(2);
+
+} // namespace
+
+server_pool::server_pool(server_pool_options options, open_function open,
+                         close_function close)
+    : options_(std::move(options)),
+      open_(std::move(open)),
+      close_(std::move(close))
+{
+}
+
+auto server_pool::update(time_point now, const server_record& record) -> void
+{
+    auto& each = servers_[record.id];
+    const auto is_restart = each.record.started_at != record.started_at ||
+                            each.record.address != record.address;
+    const auto was_primary =
+        !is_restart && each.record.role == server_role::primary;
+    each.record = record;
+    if (is_restart) {
+        each.avoid_until = {};
+        each.failures = 0;
+        each.failing_since.reset();
+        each.latency_us = base_latency(each);
+        close_idle(now, each, 0, duration::zero());
+    }
+    if (record.role == server_role::primary && !was_primary) {
+        each.claim = ++last_claim_;
+        each.is_claim_refused = false;
+        each.avoid_until = {};
+    } else if (record.role == server_role::replica) {
+        each.claim = 0;
+        each.is_claim_refused = false;
+    }
+    if (record.state == server_availability::ready) {
+        each.draining_since.reset();
+        return;
+    }
+    if (!each.draining_since) {
+        each.draining_since = now;
+    }
+    if (record.role == server_role::replica ||
+        record.state == server_availability::gone)
+    {
+        close_idle(now, each, 0, duration::zero());
+    }
+}
+
+auto server_pool::set_connection_limit(const group_id& group,
+                                       std::uint32_t limit) -> void
+{
+    limits_[group] = limit;
+}
+
+auto server_pool::is_primary(const server& each) const -> bool
+{
+    if (each.claim == 0 || each.is_claim_refused) {
+        return false;
+    }
+    return std::none_of(
+        servers_.begin(), servers_.end(), [&](const auto& other) {
+            return other.second.record.group == each.record.group &&
+                   other.second.claim > each.claim &&
+                   !other.second.is_claim_refused &&
+                   other.second.record.state != server_availability::gone;
+        });
+}
+
+auto server_pool::may_use(time_point now, const server& each,
+                          const demand& need) const -> bool
+{
+    if (each.record.group != need.group || now < each.avoid_until ||
+        each.record.state == server_availability::gone)
+    {
+        return false;
+    }
+    if (need.is_primary_needed) {
+        return is_primary(each) &&
+               (!each.draining_since ||
+                now - *each.draining_since < leaving_primary_time);
+    }
+    return !each.draining_since && (need.excluded == nullptr ||
+                                    !need.excluded->contains(each.record.id));
+}
+
+auto server_pool::is_served(time_point now, const demand& need) const -> bool
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+        return may_use(now, each.second, need);
+    });
+}
+
+auto server_pool::base_latency(const server& each) const -> double
+{
+    if (each.record.zone == options_.zone) {
+        return same_zone_latency_us;
+    }
+    const auto own = options_.regions.find(options_.zone);
+    const auto other = options_.regions.find(each.record.zone);
+    const auto is_same_region = own != options_.regions.end() &&
+                                other != options_.regions.end() &&
+                                own->second == other->second;
+    return is_same_region ? same_region_latency_us : other_region_latency_us;
+}
+
+auto server_pool::score(time_point now, const server& each,
+                        bool is_primary_needed) const -> double
+{
+    const auto base = base_latency(each);
+    const auto age = now - each.sampled_at;
+    const auto weight =
+        age >= sample_life
+            ? 0.0
+            : 1.0 - static_cast<double>(age.count()) /
+                        static_cast<double>(duration(sample_life).count());
+    auto result = base + weight * (each.latency_us - base);
+    const auto slots = std::max<double>(1, each.record.slots);
+    result *= 1 + queue_weight * static_cast<double>(each.busy) / slots;
+    if (!is_primary_needed && is_primary(each)) {
+        result *= primary_read_penalty;
+    }
+    if (now < each.full_until ||
+        (!is_primary_needed && now < each.lagging_until)) {
+        result += other_region_latency_us * 2;
+    }
+    return result;
+}
+
+auto server_pool::connection_limit(const server& each) const -> std::size_t
+{
+    const auto found = limits_.find(each.record.group);
+    const auto total = found == limits_.end() ? 0U : found->second;
+    return std::max(options_.connections_minimum,
+                    total / options_.connection_share_divisor);
+}
+
+auto server_pool::may_open(time_point now, const server& each,
+                           const demand& need) const -> bool
+{
+    return each.open < connection_limit(each) &&
+           each.connecting < need.waiting && now >= each.no_connections_until;
+}
+
+auto server_pool::choose(time_point now, const demand& need)
+    -> std::optional<connection_id>
+{
+    auto ranked = std::vector<std::pair<double, server*>>();
+    for (auto& [id, each] : servers_) {
+        if (may_use(now, each, need)) {
+            ranked.emplace_back(score(now, each, need.is_primary_needed),
+                                &each);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& left, const auto& right) {
+                  return left.first < right.first;
+              });
+    for (const auto& [value, each] : ranked) {
+        if (!each->idle.empty()) {
+            const auto id = each->idle.back();
+            each->idle.pop_back();
+            auto& used = connections_.at(id);
+            used.is_idle = false;
+            used.used_at = now;
+            ++each->busy;
+            return id;
+        }
+        if (may_open(now, *each, need)) {
+            open(now, *each);
+            return std::nullopt;
+        }
+        if (each->connecting > 0) {
+            return std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+auto server_pool::open(time_point now, server& each) -> void
+{
+    const auto id = connection_id(++last_connection_);
+    connections_[id] = {each.record.id, false, now};
+    ++each.open;
+    ++each.connecting;
+    open_(id, each.record);
+}
+
+auto server_pool::on_connected(time_point now, connection_id id) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    --each.connecting;
+    each.failures = 0;
+    each.failing_since.reset();
+    each.answered_at = now;
+    found->second.is_idle = true;
+    found->second.used_at = now;
+    each.idle.push_back(id);
+}
+
+auto server_pool::on_connect_failed(time_point now, connection_id id,
+                                    connect_failure reason) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    --each.connecting;
+    --each.open;
+    connections_.erase(found);
+    if (reason == connect_failure::connection_limit) {
+        each.no_connections_until = now + connection_limit_pause;
+        each.answered_at = now;
+        return;
+    }
+    fail(now, each);
+}
+
+auto server_pool::fail(time_point now, server& each) -> void
+{
+    if (!each.failing_since) {
+        each.failing_since = now;
+    }
+    const auto pause = std::min<duration>(
+        first_backoff *
+            (std::int64_t{1} << std::min<std::size_t>(each.failures, 4)),
+        last_backoff);
+    ++each.failures;
+    each.avoid_until = now + pause;
+}
+
+auto server_pool::on_answer(time_point now, connection_id id, duration latency)
+    -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    const auto sample = static_cast<double>(latency.count());
+    each.latency_us += sample_weight * (sample - each.latency_us);
+    each.sampled_at = now;
+    each.answered_at = now;
+    each.failing_since.reset();
+    each.failures = 0;
+}
+
+auto server_pool::on_silence(time_point now, connection_id id) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    const auto has_answered_lately =
+        each.answered_at && *each.answered_at > found->second.used_at;
+    if (!has_answered_lately) {
+        fail(now, each);
+    }
+}
+
+auto server_pool::on_not_primary(const target_id& id) -> void
+{
+    if (const auto found = servers_.find(id); found != servers_.end()) {
+        found->second.is_claim_refused = true;
+    }
+}
+
+auto server_pool::on_primary(const target_id& id) -> void
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end() || is_primary(found->second)) {
+        return;
+    }
+    found->second.claim = ++last_claim_;
+    found->second.is_claim_refused = false;
+}
+
+auto server_pool::on_lagging(time_point now, const target_id& id) -> void
+{
+    if (const auto found = servers_.find(id); found != servers_.end()) {
+        found->second.lagging_until = now + lagging_pause;
+    }
+}
+
+auto server_pool::on_full(time_point now, const target_id& id) -> void
+{
+    if (const auto found = servers_.find(id); found != servers_.end()) {
+        found->second.full_until = now + full_pause;
+    }
+}
+
+auto server_pool::release(time_point now, connection_id id) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || found->second.is_idle) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    --each.busy;
+    const auto is_leaving =
+        each.draining_since &&
+        !(is_primary(each) && each.record.state != server_availability::gone);
+    if (is_leaving) {
+        --each.open;
+        connections_.erase(found);
+        close_(id);
+        return;
+    }
+    found->second.is_idle = true;
+    found->second.used_at = now;
+    each.idle.push_back(id);
+}
+
+auto server_pool::forget(time_point now, connection_id id, bool is_failure)
+    -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    --each.open;
+    if (found->second.is_idle) {
+        std::erase(each.idle, id);
+    } else {
+        --each.busy;
+    }
+    connections_.erase(found);
+    if (is_failure) {
+        fail(now, each);
+    }
+}
+
+auto server_pool::close_idle(time_point now, server& each, std::size_t kept,
+                             duration older_than) -> void
+{
+    auto index = std::size_t{0};
+    while (each.idle.size() > kept && index < each.idle.size()) {
+        const auto id = each.idle[index];
+        if (now - connections_.at(id).used_at < older_than) {
+            ++index;
+            continue;
+        }
+        each.idle.erase(each.idle.begin() + static_cast<std::ptrdiff_t>(index));
+        connections_.erase(id);
+        --each.open;
+        close_(id);
+    }
+}
+
+auto server_pool::tick(time_point now) -> time_point
+{
+    for (auto& [id, each] : servers_) {
+        close_idle(now, each, 1, options_.idle_limit);
+    }
+    return now + tick_interval;
+}
+
+auto server_pool::server_of(connection_id id) const -> target_id
+{
+    const auto found = connections_.find(id);
+    return found == connections_.end() ? target_id() : found->second.server;
+}
+
+auto server_pool::group_of(connection_id id) const -> group_id
+{
+    const auto found = servers_.find(server_of(id));
+    return found == servers_.end() ? group_id() : found->second.record.group;
+}
+
+auto server_pool::health() const -> std::vector<server_health>
+{
+    auto result = std::vector<server_health>();
+    for (const auto& [id, each] : servers_) {
+        if (each.answered_at || each.failing_since) {
+            result.push_back({id, each.answered_at, each.failing_since});
+        }
+    }
+    return result;
+}
+
+auto server_pool::primary_of(const group_id& group) const
+    -> std::optional<target_id>
+{
+    for (const auto& [id, each] : servers_) {
+        if (each.record.group == group && is_primary(each)) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/session_relay.cpp
@@ -0,0 +1,307 @@
+#include <rhubarbrun/coordination/session_relay.hpp>
+
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+session_relay::session_relay(server_pool_options options, relay_hooks hooks)
+    : hooks_(std::move(hooks)),
+      pool_(std::move(options), hooks_.open, [this](connection_id id) {
+          connections_.erase(id);
+          hooks_.close(id);
+      })
+{
+}
+
+auto session_relay::set_configuration(
+    time_point now, std::shared_ptr<const service_configuration> configuration)
+    -> void
+{
+    if (configuration->version <= configuration_version()) {
+        return;
+    }
+    configuration_ = std::move(configuration);
+    for (const auto& [group, limits] : configuration_->groups) {
+        pool_.set_connection_limit(group, limits.connections_per_server);
+        serve_waiting(now, group);
+    }
+}
+
+auto session_relay::update_server(time_point now, const server_record& record)
+    -> void
+{
+    pool_.update(now, record);
+    serve_waiting(now, record.group);
+}
+
+auto session_relay::has_database(const database_id& database) const -> bool
+{
+    return configuration_ && configuration_->find(database) != nullptr;
+}
+
+auto session_relay::find_route(const database_id& database) const
+    -> route_reference
+{
+    if (!configuration_) {
+        return {};
+    }
+    return {configuration_, configuration_->find(database)};
+}
+
+auto session_relay::start_session(time_point /*now*/, session_id id,
+                                  database_id database) -> void
+{
+    auto& caller = sessions_[id];
+    caller.id = id;
+    caller.database = std::move(database);
+}
+
+auto session_relay::end_session(time_point now, session_id id) -> void
+{
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end()) {
+        return;
+    }
+    auto& caller = found->second;
+    stop_waiting(caller);
+    detach(now, caller);
+    sessions_.erase(found);
+}
+
+auto session_relay::on_statement(time_point now, session_id id,
+                                 relay_statement statement) -> void
+{
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end()) {
+        return;
+    }
+    ++counters_.statements;
+    found->second.later.push_back(std::move(statement));
+    start_next(now, found->second);
+}
+
+auto session_relay::start_next(time_point now, session& caller) -> void
+{
+    while (!caller.current && !caller.later.empty()) {
+        auto statement = std::move(caller.later.front());
+        caller.later.pop_front();
+        process(now, caller, std::move(statement));
+    }
+}
+
+auto session_relay::process(time_point now, session& caller,
+                            relay_statement statement) -> void
+{
+    if (caller.open) {
+        caller.open->used_at = now;
+    }
+    switch (statement.step) {
+    case relay_step::begin:
+        begin(now, caller, std::move(statement));
+        return;
+    case relay_step::commit:
+        commit(now, caller, std::move(statement));
+        return;
+    case relay_step::rollback:
+        roll_back(now, caller);
+        return;
+    default:
+        break;
+    }
+    if (caller.open && caller.open->is_failed) {
+        const auto is_told = std::exchange(caller.open->is_failure_told, true);
+        answer_error(now, caller,
+                     is_told ? relay_error::malformed : relay_error::aborted,
+                     is_told ? "the transaction failed; roll it back"
+                             : "the transaction was rolled back");
+        return;
+    }
+    switch (statement.step) {
+    case relay_step::set_value:
+        caller.values[statement.name] = statement.text;
+        answer_locally(caller);
+        return;
+    case relay_step::prepare:
+        caller.prepared[statement.name] = {statement.is_read_only,
+                                           statement.text};
+        answer_locally(caller);
+        return;
+    case relay_step::deallocate:
+        caller.prepared.erase(statement.name);
+        answer_locally(caller);
+        return;
+    case relay_step::read:
+    case relay_step::write:
+    case relay_step::execute:
+        run(now, caller, std::move(statement));
+        return;
+    default:
+        answer_error(now, caller, relay_error::malformed,
+                     "the statement cannot be read");
+    }
+}
+
+auto session_relay::begin(time_point now, session& caller,
+                          relay_statement statement) -> void
+{
+    if (caller.open) {
+        answer_error(now, caller, relay_error::malformed,
+                     "a transaction is open");
+        return;
+    }
+    auto opened = transaction{};
+    opened.route = find_route(caller.database);
+    if (opened.route.route == nullptr) {
+        answer_error(now, caller, relay_error::no_database,
+                     "there is no such database");
+        return;
+    }
+    opened.is_read_only = statement.is_read_only;
+    opened.arrived = opened.used_at = now;
+    caller.open = std::move(opened);
+    answer_locally(caller);
+}
+
+auto session_relay::commit(time_point now, session& caller,
+                           relay_statement statement) -> void
+{
+    if (!caller.open) {
+        answer_error(now, caller, relay_error::malformed,
+                     "no transaction is open");
+        return;
+    }
+    if (caller.open->is_failed) {
+        caller.open.reset();
+        answer_error(now, caller, relay_error::aborted,
+                     "the transaction was rolled back");
+        return;
+    }
+    start_operation(now, caller, std::move(statement), false);
+}
+
+auto session_relay::roll_back(time_point now, session& caller) -> void
+{
+    if (caller.open) {
+        detach(now, caller);
+        caller.open.reset();
+    }
+    answer_locally(caller);
+}
+
+auto session_relay::run(time_point now, session& caller,
+                        relay_statement statement) -> void
+{
+    auto is_read = statement.step == relay_step::read;
+    if (statement.step == relay_step::execute) {
+        const auto found = caller.prepared.find(statement.name);
+        if (found == caller.prepared.end()) {
+            answer_error(now, caller, relay_error::unknown_name,
+                         "there is no such prepared statement");
+            return;
+        }
+        is_read = found->second.is_read;
+    }
+    start_operation(now, caller, std::move(statement), is_read);
+}
+
+auto session_relay::start_operation(time_point now, session& caller,
+                                    relay_statement statement, bool is_read)
+    -> void
+{
+    auto started = operation{};
+    started.route =
+        caller.open ? caller.open->route : find_route(caller.database);
+    if (started.route.route == nullptr) {
+        answer_error(now, caller, relay_error::no_database,
+                     "there is no such database");
+        return;
+    }
+    started.statement = std::move(statement);
+    started.arrived = now;
+    started.expires = now + started.route.route->statement_timeout;
+    started.is_read = is_read;
+    caller.current = std::move(started);
+    expiries_.emplace(caller.current->expires, caller.id);
+    if (!assign(now, caller)) {
+        wait(caller);
+    }
+}
+
+auto session_relay::status_of(const session& caller) -> transaction_status
+{
+    if (!caller.open) {
+        return transaction_status::idle;
+    }
+    return caller.open->is_failed ? transaction_status::failed
+                                  : transaction_status::in_transaction;
+}
+
+auto session_relay::answer(session& caller, relay_reply reply) -> void
+{
+    reply.status = status_of(caller);
+    if (!reply.is_success()) {
+        ++counters_.errors.at(static_cast<std::size_t>(reply.error));
+    }
+    hooks_.reply(caller.id, reply);
+}
+
+auto session_relay::answer_locally(session& caller) -> void
+{
+    auto reply = relay_reply{};
+    reply.detail = "-";
+    answer(caller, std::move(reply));
+}
+
+auto session_relay::answer_error(time_point now, session& caller,
+                                 relay_error error, std::string_view text)
+    -> void
+{
+    auto reply = relay_reply{};
+    reply.error = error;
+    reply.detail = text;
+    log(now, "refused", caller, {}, error);
+    answer(caller, std::move(reply));
+}
+
+auto session_relay::finish(time_point now, session& caller, relay_reply reply)
+    -> void
+{
+    stop_waiting(caller);
+    expiries_.erase({caller.current->expires, caller.id});
+    if (!reply.is_success()) {
+        const auto server = caller.current->connection
+                                ? pool_.server_of(*caller.current->connection)
+                                : target_id();
+        log(now, "failed", caller, server, reply.error);
+    }
+    caller.current.reset();
+    if (caller.open) {
+        caller.open->used_at = now;
+        caller.open->is_failure_told = caller.open->is_failed;
+    }
+    answer(caller, std::move(reply));
+    start_next(now, caller);
+}
+
+auto session_relay::log(time_point now, std::string_view action,
+                        const session& caller, const target_id& server,
+                        relay_error cause) -> void
+{
+    if (!hooks_.log) {
+        return;
+    }
+    auto decision = relay_decision{};
+    decision.action = action;
+    decision.session = caller.id;
+    decision.server = server;
+    decision.cause = cause;
+    decision.configuration = configuration_version();
+    if (caller.current) {
+        decision.request = caller.current->statement.id;
+        decision.group = caller.current->route.route->group;
+        decision.age = now - caller.current->arrived;
+    }
+    hooks_.log(decision);
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -0,0 +1,260 @@
+#include <rhubarbrun/coordination/session_relay.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// A position is asked for again after this part of the staleness limit, so
+/// that reads need not wait for it.
+constexpr auto refresh_divisor = 2;
+/// A probe without an answer is repeated after this long.
+constexpr auto probe_patience = milliseconds(400);
+
+/// Name of a prepared statement at a server, where all sessions share those of
+/// the same shape.
+auto shared_name(bool is_read, const std::string& shape) -> std::string
+{
+    return (is_read ? "r_" : "w_") + shape;
+}
+
+} // namespace
+
+auto session_relay::waiting_key_of(const session& caller) const -> waiting_key
+{
+    return {caller.current->route.route->priority, caller.current->arrived,
+            caller.id};
+}
+
+auto session_relay::wait(session& caller) -> void
+{
+    waiting_[caller.current->route.route->group].insert(waiting_key_of(caller));
+}
+
+auto session_relay::stop_waiting(const session& caller) -> void
+{
+    if (!caller.current) {
+        return;
+    }
+    expiries_.erase({caller.current->expires, caller.id});
+    const auto found = waiting_.find(caller.current->route.route->group);
+    if (found != waiting_.end()) {
+        found->second.erase(waiting_key_of(caller));
+    }
+}
+
+auto session_relay::serve_waiting(time_point now, const group_id& group) -> void
+{
+    if (wanted_probes_.contains(group)) {
+        send_probe(now, group);
+    }
+    const auto found = waiting_.find(group);
+    if (found == waiting_.end() || found->second.empty()) {
+        return;
+    }
+    const auto keys =
+        std::vector<waiting_key>(found->second.begin(), found->second.end());
+    for (const auto& key : keys) {
+        const auto caller = sessions_.find(std::get<session_id>(key));
+        if (caller == sessions_.end() || !found->second.contains(key)) {
+            continue;
+        }
+        if (assign(now, caller->second)) {
+            found->second.erase(key);
+        }
+    }
+}
+
+auto session_relay::needs_primary(const session& caller) const -> bool
+{
+    const auto& current = *caller.current;
+    if (current.route.route->consistency == read_consistency::primary) {
+        return true;
+    }
+    return caller.open ? !caller.open->is_read_only : !current.is_read;
+}
+
+auto session_relay::required_position(time_point now, const session& caller)
+    -> std::optional<log_position>
+{
+    const auto& current = *caller.current;
+    const auto& route = *current.route.route;
+    const auto& observed = observations_[route.group];
+    const auto latest = observed.latest();
+    if (!latest || now - *latest > route.staleness_limit / refresh_divisor) {
+        want_probe(now, route.group);
+    }
+    const auto arrived = caller.open ? caller.open->arrived : current.arrived;
+    auto position = observed.covering(arrived - route.staleness_limit);
+    if (position && caller.floor &&
+        route.consistency == read_consistency::read_your_writes)
+    {
+        position = std::max(*position, observed.translate(*caller.floor));
+    }
+    return position;
+}
+
+auto session_relay::want_probe(time_point now, const group_id& group) -> void
+{
+    const auto running = probes_.find(group);
+    if (running != probes_.end() && now - running->second < probe_patience) {
+        return;
+    }
+    probes_[group] = now;
+    wanted_probes_.insert(group);
+    send_probe(now, group);
+}
+
+auto session_relay::send_probe(time_point now, const group_id& group) -> void
+{
+    auto need = server_pool::demand{};
+    need.group = group;
+    need.is_primary_needed = true;
+    const auto id = pool_.choose(now, need);
+    if (!id) {
+        return;
+    }
+    wanted_probes_.erase(group);
+    probes_[group] = now;
+    ++counters_.probes;
+    auto& target = connections_.at(*id);
+    target.session.reset();
+    target.expected.push_back({expectation_kind::probe, now});
+    auto ask = relay_statement{};
+    ask.step = relay_step::begin;
+    hooks_.send(*id, {ask});
+}
+
+auto session_relay::assign(time_point now, session& caller) -> bool
+{
+    auto& current = *caller.current;
+    if (now < current.not_before) {
+        return false;
+    }
+    if (caller.open && caller.open->is_begun) {
+        send_current(now, caller, *caller.open->connection, std::nullopt);
+        return true;
+    }
+    auto need = server_pool::demand{};
+    need.group = current.route.route->group;
+    need.is_primary_needed = needs_primary(caller);
+    need.excluded = &current.excluded;
+    need.waiting = std::max<std::size_t>(1, waiting_[need.group].size());
+    auto floor = std::optional<log_position>();
+    if (!need.is_primary_needed) {
+        floor = required_position(now, caller);
+        if (!floor) {
+            return false;
+        }
+    }
+    const auto id = pool_.choose(now, need);
+    if (!id) {
+        return false;
+    }
+    dispatch(now, caller, *id, floor);
+    return true;
+}
+
+auto session_relay::dispatch(time_point now, session& caller, connection_id id,
+                             const std::optional<log_position>& floor) -> void
+{
+    auto& current = *caller.current;
+    auto& target = connections_.at(id);
+    target.session = caller.id;
+    current.connection = id;
+    ++current.attempts;
+    const auto is_guarded =
+        !caller.open && current.is_read &&
+        current.route.route->consistency == read_consistency::primary;
+    if (!caller.open && !is_guarded) {
+        send_current(now, caller, id, floor);
+        return;
+    }
+    auto out = std::vector<relay_statement>();
+    add_preparation(now, caller, target, out);
+    auto start = relay_statement{};
+    start.step = relay_step::begin;
+    if (caller.open) {
+        caller.open->connection = id;
+        start.is_read_only = !needs_primary(caller);
+        start.floor = floor;
+    }
+    target.expected.push_back(
+        {is_guarded ? expectation_kind::guard : expectation_kind::begin, now});
+    out.push_back(std::move(start));
+    hooks_.send(id, out);
+}
+
+auto session_relay::add_preparation(time_point now, const session& caller,
+                                    connection& target,
+                                    std::vector<relay_statement>& out) -> void
+{
+    const auto add = [&](relay_step step, const std::string& name,
+                         const std::string& text, bool is_read) {
+        auto each = relay_statement{};
+        each.step = step;
+        each.name = name;
+        each.text = text;
+        each.is_read_only = is_read;
+        out.push_back(std::move(each));
+        target.expected.push_back({expectation_kind::preparation, now});
+    };
+    const auto has_foreign_value = std::any_of(
+        target.values.begin(), target.values.end(),
+        [&](const auto& each) { return !caller.values.contains(each.first); });
+    if (has_foreign_value) {
+        add(relay_step::discard, {}, {}, false);
+        target.values.clear();
+        target.prepared.clear();
+    }
+    for (const auto& [name, value] : caller.values) {
+        const auto found = target.values.find(name);
+        if (found == target.values.end() || found->second != value) {
+            add(relay_step::set_value, name, value, false);
+            target.values[name] = value;
+        }
+    }
+    const auto& statement = caller.current->statement;
+    if (statement.step == relay_step::execute) {
+        const auto& prepared = caller.prepared.at(statement.name);
+        const auto name = shared_name(prepared.is_read, prepared.shape);
+        if (target.prepared.insert(name).second) {
+            add(relay_step::prepare, name, prepared.shape, prepared.is_read);
+        }
+    }
+}
+
+auto session_relay::send_current(time_point now, session& caller,
+                                 connection_id id,
+                                 const std::optional<log_position>& floor)
+    -> void
+{
+    auto& current = *caller.current;
+    auto& target = connections_.at(id);
+    current.connection = id;
+    current.is_sent = true;
+    auto out = std::vector<relay_statement>();
+    add_preparation(now, caller, target, out);
+    auto statement = current.statement;
+    if (statement.step == relay_step::execute) {
+        const auto& prepared = caller.prepared.at(statement.name);
+        statement.name = shared_name(prepared.is_read, prepared.shape);
+    }
+    statement.floor = floor;
+    target.expected.push_back({expectation_kind::statement, now});
+    out.push_back(std::move(statement));
+    if (caller.open) {
+        caller.open->has_written |=
+            !current.is_read && current.statement.step != relay_step::commit;
+    } else if (target.status == transaction_status::in_transaction) {
+        auto end = relay_statement{};
+        end.step = relay_step::rollback;
+        target.expected.push_back({expectation_kind::clean_up, now});
+        out.push_back(std::move(end));
+    }
+    hooks_.send(id, out);
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/session_relay_replies.cpp
@@ -0,0 +1,453 @@
+#include <rhubarbrun/coordination/session_relay.hpp>
+
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Pause before a statement that a server refused is sent again.
+constexpr auto refusal_pause = milliseconds(15);
+/// Attempts of one statement at servers.
+constexpr auto attempts_limit = std::size_t{8};
+/// Runs of a read that servers failed.
+constexpr auto failed_read_attempts = std::size_t{3};
+
+/// Whether the error says that the statement did not run.
+auto is_not_run(relay_error error) -> bool
+{
+    switch (error) {
+    case relay_error::retry:
+    case relay_error::lagging:
+    case relay_error::read_only:
+    case relay_error::wrong_server:
+    case relay_error::connection_limit:
+    case relay_error::unknown_name:
+        return true;
+    default:
+        return false;
+    }
+}
+
+auto error_reply(relay_error error, std::string_view text) -> relay_reply
+{
+    auto reply = relay_reply{};
+    reply.error = error;
+    reply.detail = text;
+    return reply;
+}
+
+} // namespace
+
+auto session_relay::on_connected(time_point now, connection_id id) -> void
+{
+    connections_[id] = {};
+    pool_.on_connected(now, id);
+    serve_waiting(now, pool_.group_of(id));
+}
+
+auto session_relay::on_connect_failed(time_point now, connection_id id,
+                                      connect_failure reason) -> void
+{
+    const auto group = pool_.group_of(id);
+    pool_.on_connect_failed(now, id, reason);
+    serve_waiting(now, group);
+}
+
+auto session_relay::on_reply(time_point now, connection_id id,
+                             relay_reply reply) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& target = found->second;
+    if (target.expected.empty()) {
+        target.is_broken = true;
+        settle(now, id);
+        return;
+    }
+    const auto asked = target.expected.front();
+    target.expected.pop_front();
+    target.status = reply.status;
+    if (asked.kind == expectation_kind::preparation) {
+        target.is_broken |= !reply.is_success();
+        return;
+    }
+    if (asked.kind == expectation_kind::probe) {
+        on_probe_reply(now, id, asked, reply);
+        return;
+    }
+    const auto caller =
+        target.session ? sessions_.find(*target.session) : sessions_.end();
+    if (caller == sessions_.end() || !caller->second.current ||
+        asked.kind == expectation_kind::clean_up)
+    {
+        settle(now, id);
+        return;
+    }
+    if (asked.kind == expectation_kind::statement) {
+        on_current_reply(now, caller->second, id, asked, std::move(reply));
+    } else {
+        on_guard_reply(now, caller->second, id, asked, reply);
+    }
+}
+
+auto session_relay::note_observation(
+    time_point now, const group_id& group, time_point asked_at,
+    const std::optional<log_position>& position) -> void
+{
+    if (!position) {
+        return;
+    }
+    observations_[group].observe(asked_at, *position);
+    if (const auto found = waiting_.find(group);
+        found != waiting_.end() && !found->second.empty())
+    {
+        serve_waiting(now, group);
+    }
+}
+
+auto session_relay::on_guard_reply(time_point now, session& caller,
+                                   connection_id id, const expectation& asked,
+                                   const relay_reply& reply) -> void
+{
+    if (!reply.is_success()) {
+        on_refusal(now, caller, id, reply.error);
+        return;
+    }
+    const auto group = caller.current->route.route->group;
+    if (needs_primary(caller)) {
+        pool_.on_primary(pool_.server_of(id));
+    }
+    if (caller.open) {
+        caller.open->is_begun = true;
+    }
+    const auto is_primary = needs_primary(caller);
+    send_current(now, caller, id, std::nullopt);
+    if (is_primary) {
+        note_observation(now, group, asked.sent, reply.position);
+    }
+}
+
+auto session_relay::on_probe_reply(time_point now, connection_id id,
+                                   const expectation& asked,
+                                   const relay_reply& reply) -> void
+{
+    const auto group = pool_.group_of(id);
+    const auto server = pool_.server_of(id);
+    probes_.erase(group);
+    if (reply.is_success()) {
+        pool_.on_primary(server);
+    } else {
+        note_refusal(now, id, reply.error);
+    }
+    settle(now, id);
+    if (reply.is_success()) {
+        note_observation(now, group, asked.sent, reply.position);
+    }
+}
+
+auto session_relay::note_refusal(time_point now, connection_id id,
+                                 relay_error error) -> void
+{
+    const auto server = pool_.server_of(id);
+    switch (error) {
+    case relay_error::read_only:
+        pool_.on_not_primary(server);
+        break;
+    case relay_error::lagging:
+        pool_.on_lagging(now, server);
+        break;
+    case relay_error::retry:
+    case relay_error::connection_limit:
+        pool_.on_full(now, server);
+        break;
+    case relay_error::unknown_name:
+        connections_.at(id).prepared.clear();
+        break;
+    default:
+        break;
+    }
+}
+
+auto session_relay::on_refusal(time_point now, session& caller,
+                               connection_id id, relay_error error) -> void
+{
+    const auto server = pool_.server_of(id);
+    note_refusal(now, id, error);
+    if (caller.open) {
+        caller.open->connection.reset();
+    }
+    caller.current->connection.reset();
+    connections_.at(id).session.reset();
+    settle(now, id);
+    try_again(now, caller, error, server);
+}
+
+auto session_relay::try_again(time_point now, session& caller,
+                              relay_error cause, const target_id& server)
+    -> void
+{
+    auto& current = *caller.current;
+    current.is_sent = false;
+    if (current.attempts >= attempts_limit || now >= current.expires) {
+        if (caller.open) {
+            fail_transaction(caller);
+            if (current.statement.step == relay_step::commit) {
+                caller.open.reset();
+            }
+        }
+        finish(now, caller,
+               error_reply(relay_error::retry, "no server took it"));
+        return;
+    }
+    ++counters_.sent_elsewhere;
+    log(now, "sent_elsewhere", caller, server, cause);
+    if (!needs_primary(caller)) {
+        current.excluded.insert(server);
+        auto need = server_pool::demand{};
+        need.group = current.route.route->group;
+        need.excluded = &current.excluded;
+        if (!pool_.is_served(now, need)) {
+            current.excluded.clear();
+            current.not_before = now + refusal_pause;
+        }
+    } else {
+        current.not_before = now + refusal_pause;
+    }
+    if (!assign(now, caller)) {
+        wait(caller);
+    }
+}
+
+auto session_relay::on_current_reply(time_point now, session& caller,
+                                     connection_id id, const expectation& asked,
+                                     relay_reply reply) -> void
+{
+    if (caller.current->is_read && reply.is_success()) {
+        pool_.on_answer(now, id, now - asked.sent);
+    }
+    if (caller.open) {
+        on_transaction_reply(now, caller, id, asked, std::move(reply));
+        return;
+    }
+    if (!reply.is_success()) {
+        on_plain_failure(now, caller, id, std::move(reply));
+        return;
+    }
+    const auto group = caller.current->route.route->group;
+    const auto position = reply.position;
+    const auto is_write = !caller.current->is_read;
+    if (is_write && position) {
+        caller.floor = position;
+    }
+    caller.current->connection.reset();
+    connections_.at(id).session.reset();
+    settle(now, id);
+    finish(now, caller, std::move(reply));
+    if (is_write) {
+        note_observation(now, group, asked.sent, position);
+    }
+}
+
+auto session_relay::on_plain_failure(time_point now, session& caller,
+                                     connection_id id, relay_reply reply)
+    -> void
+{
+    const auto& current = *caller.current;
+    const auto is_repeatable_read = current.is_read &&
+                                    reply.error == relay_error::failed &&
+                                    current.attempts < failed_read_attempts;
+    if (is_not_run(reply.error) || is_repeatable_read) {
+        on_refusal(now, caller, id, reply.error);
+        return;
+    }
+    caller.current->connection.reset();
+    connections_.at(id).session.reset();
+    settle(now, id);
+    finish(now, caller, std::move(reply));
+}
+
+auto session_relay::on_transaction_reply(time_point now, session& caller,
+                                         connection_id id,
+                                         const expectation& asked,
+                                         relay_reply reply) -> void
+{
+    auto& opened = *caller.open;
+    auto& current = *caller.current;
+    const auto is_commit = current.statement.step == relay_step::commit;
+    const auto is_still_open =
+        reply.status == transaction_status::in_transaction;
+    if (!reply.is_success() && reply.error == relay_error::retry &&
+        is_still_open && current.attempts < attempts_limit)
+    {
+        ++current.attempts;
+        current.is_sent = false;
+        current.not_before = now + refusal_pause;
+        pool_.on_full(now, pool_.server_of(id));
+        wait(caller);
+        return;
+    }
+    const auto group = current.route.route->group;
+    if (reply.is_success() && !is_commit) {
+        const auto position = reply.position;
+        const auto is_primary = needs_primary(caller);
+        finish(now, caller, std::move(reply));
+        if (is_primary) {
+            note_observation(now, group, asked.sent, position);
+        }
+        return;
+    }
+    const auto has_committed = reply.is_success() && opened.has_written;
+    const auto position = reply.position;
+    if (has_committed && position) {
+        caller.floor = position;
+    }
+    if (!reply.is_success()) {
+        note_refusal(now, id, reply.error);
+        if (is_not_run(reply.error)) {
+            reply.error = relay_error::aborted;
+        }
+    }
+    detach(now, caller);
+    opened.is_failed = true;
+    if (is_commit) {
+        caller.open.reset();
+    }
+    finish(now, caller, std::move(reply));
+    if (has_committed) {
+        note_observation(now, group, asked.sent, position);
+    }
+}
+
+auto session_relay::fail_transaction(session& caller) -> void
+{
+    caller.open->is_failed = true;
+    caller.open->connection.reset();
+}
+
+auto session_relay::detach(time_point now, session& caller) -> void
+{
+    auto id = std::optional<connection_id>();
+    if (caller.open && caller.open->connection) {
+        id = std::exchange(caller.open->connection, std::nullopt);
+    } else if (caller.current && caller.current->connection) {
+        id = caller.current->connection;
+    }
+    if (caller.current) {
+        caller.current->connection.reset();
+    }
+    if (!id) {
+        return;
+    }
+    connections_.at(*id).session.reset();
+    settle(now, *id);
+}
+
+auto session_relay::settle(time_point now, connection_id id) -> void
+{
+    auto& target = connections_.at(id);
+    if (!target.expected.empty() || target.session) {
+        return;
+    }
+    const auto group = pool_.group_of(id);
+    if (target.is_broken) {
+        connections_.erase(id);
+        pool_.forget(now, id, false);
+        hooks_.close(id);
+    } else if (target.status != transaction_status::idle) {
+        auto end = relay_statement{};
+        end.step = relay_step::rollback;
+        target.expected.push_back({expectation_kind::clean_up, now});
+        hooks_.send(id, {end});
+        return;
+    } else {
+        pool_.release(now, id);
+    }
+    serve_waiting(now, group);
+}
+
+auto session_relay::on_connection_lost(time_point now, connection_id id) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    const auto session_of = found->second.session;
+    const auto group = pool_.group_of(id);
+    const auto server = pool_.server_of(id);
+    for (const auto& each : found->second.expected) {
+        if (each.kind == expectation_kind::probe) {
+            probes_.erase(group);
+        }
+    }
+    const auto is_failure = !found->second.expected.empty();
+    connections_.erase(found);
+    pool_.forget(now, id, is_failure);
+    const auto owner =
+        session_of ? sessions_.find(*session_of) : sessions_.end();
+    if (owner == sessions_.end()) {
+        return;
+    }
+    auto& caller = owner->second;
+    if (!caller.current) {
+        if (caller.open) {
+            fail_transaction(caller);
+        }
+        return;
+    }
+    auto& current = *caller.current;
+    current.connection.reset();
+    const auto is_begun = caller.open && caller.open->is_begun;
+    if (caller.open) {
+        caller.open->connection.reset();
+    }
+    if (!is_begun && (!current.is_sent || current.is_read)) {
+        try_again(now, caller, relay_error::other, server);
+        return;
+    }
+    if (!is_begun) {
+        finish(now, caller,
+               error_reply(relay_error::in_doubt,
+                           "the connection to the server was lost"));
+        return;
+    }
+    const auto is_commit = current.statement.step == relay_step::commit;
+    const auto is_doubtful =
+        is_commit && current.is_sent && caller.open->has_written;
+    fail_transaction(caller);
+    if (is_commit) {
+        caller.open.reset();
+    }
+    finish(now, caller,
+           is_doubtful ? error_reply(relay_error::in_doubt,
+                                     "the connection to the server was lost")
+                       : error_reply(relay_error::aborted,
+                                     "the connection to the server was lost"));
+}
+
+auto session_relay::expire(time_point now, session& caller) -> void
+{
+    auto& current = *caller.current;
+    const auto is_sent = current.is_sent;
+    const auto is_commit = current.statement.step == relay_step::commit;
+    const auto is_kept = is_commit && caller.open->has_written;
+    if (current.connection) {
+        pool_.on_silence(now, *current.connection);
+    }
+    detach(now, caller);
+    auto error = is_sent ? relay_error::timeout : relay_error::retry;
+    if (caller.open) {
+        if (!is_sent || (is_commit && !is_kept)) {
+            error = relay_error::aborted;
+        }
+        caller.open->is_failed = true;
+        if (is_commit) {
+            caller.open.reset();
+        }
+    }
+    finish(now, caller, error_reply(error, "the statement's time is over"));
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/session_relay_timers.cpp
@@ -0,0 +1,134 @@
+#include <rhubarbrun/coordination/session_relay.hpp>
+
+#include <algorithm>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Waiting requests are looked at this often, for pauses that ended.
+constexpr auto waiting_interval = milliseconds(10);
+/// Idle transactions and silent connections are looked for this often.
+constexpr auto sweep_interval = milliseconds(500);
+/// A connection that owes an answer for this long is given up. It is longer
+/// than the slowest statement takes, so that no running one is cut off.
+constexpr auto silence_limit = std::chrono::seconds(4);
+/// A load balancer takes this long to notice that a process is not ready: two
+/// probes a second apart, and some margin.
+constexpr auto balancer_notice = milliseconds(2300);
+
+} // namespace
+
+auto session_relay::tick(time_point now) -> time_point
+{
+    while (!expiries_.empty() && expiries_.begin()->first <= now) {
+        const auto caller = sessions_.find(expiries_.begin()->second);
+        expiries_.erase(expiries_.begin());
+        if (caller != sessions_.end() && caller->second.current) {
+            expire(now, caller->second);
+        }
+    }
+    if (now >= next_sweep_) {
+        next_sweep_ = now + sweep_interval;
+        tick_sessions(now);
+        tick_connections(now);
+    }
+    if (now >= next_pool_tick_) {
+        next_pool_tick_ = pool_.tick(now);
+    }
+    if (draining_since_) {
+        tick_drain(now);
+    }
+    for (auto& [group, keys] : waiting_) {
+        if (!keys.empty() || wanted_probes_.contains(group)) {
+            serve_waiting(now, group);
+        }
+    }
+    return next_due(now);
+}
+
+auto session_relay::next_due(time_point now) const -> time_point
+{
+    auto due = std::min(next_sweep_, next_pool_tick_);
+    const auto is_waiting =
+        !wanted_probes_.empty() ||
+        std::any_of(waiting_.begin(), waiting_.end(),
+                    [](const auto& each) { return !each.second.empty(); });
+    if (is_waiting) {
+        due = std::min<time_point>(due, now + waiting_interval);
+    }
+    if (!expiries_.empty()) {
+        due = std::min(due, expiries_.begin()->first);
+    }
+    return due;
+}
+
+auto session_relay::tick_sessions(time_point now) -> void
+{
+    for (auto& [id, caller] : sessions_) {
+        if (!caller.open || caller.current || caller.open->is_failed) {
+            continue;
+        }
+        const auto limit =
+            caller.open->route.configuration->transaction_idle_limit;
+        if (limit > duration::zero() && now - caller.open->used_at > limit) {
+            log(now, "idle_transaction_ended", caller, {},
+                relay_error::aborted);
+            detach(now, caller);
+            caller.open->is_failed = true;
+        }
+    }
+}
+
+auto session_relay::tick_connections(time_point now) -> void
+{
+    auto silent = std::vector<connection_id>();
+    for (const auto& [id, target] : connections_) {
+        if (!target.expected.empty() &&
+            now - target.expected.front().sent > silence_limit)
+        {
+            silent.push_back(id);
+        }
+    }
+    for (const auto& id : silent) {
+        hooks_.close(id);
+        on_connection_lost(now, id);
+    }
+}
+
+auto session_relay::drain(time_point now, duration grace) -> void
+{
+    if (!draining_since_) {
+        draining_since_ = now;
+        grace_ = grace;
+    }
+}
+
+auto session_relay::tick_drain(time_point now) -> void
+{
+    const auto elapsed = now - *draining_since_;
+    if (elapsed < balancer_notice) {
+        return;
+    }
+    auto finished = std::vector<session_id>();
+    for (auto& [id, caller] : sessions_) {
+        const auto is_idle = !caller.current && caller.later.empty();
+        if (is_idle && (!caller.open || elapsed >= grace_ / 2)) {
+            finished.push_back(id);
+        }
+    }
+    for (const auto& id : finished) {
+        end_session(now, id);
+        hooks_.close_session(id);
+    }
+}
+
+auto session_relay::is_quiet() const -> bool
+{
+    return std::none_of(sessions_.begin(), sessions_.end(),
+                        [](const auto& each) {
+                            return each.second.current || each.second.open;
+                        });
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/state/service_configuration.cpp
@@ -0,0 +1,36 @@
+#include <rhubarbrun/state/service_configuration.hpp>
+
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+auto service_configuration::find(const database_id& database) const noexcept
+    -> const database_route*
+{
+    const auto found = routes.find(database);
+    return found == routes.end() ? nullptr : &found->second;
+}
+
+auto add_route(service_configuration& configuration, database_route route)
+    -> void
+{
+    if (!configuration.groups.contains(route.group)) {
+        throw configuration_error("route " + route.name +
+                                  " names an unknown group " +
+                                  route.group.value());
+    }
+    if (route.statement_timeout <= duration::zero()) {
+        throw configuration_error("the statement timeout of route " +
+                                  route.name + " is not positive");
+    }
+    const auto name = route.name;
+    const auto database = route.database;
+    const auto [place, is_new] =
+        configuration.routes.emplace(database, std::move(route));
+    if (!is_new) {
+        throw configuration_error("routes " + place->second.name + " and " +
+                                  name + " name the same database");
+    }
+}
+
+} // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/transport/view_client.cpp
@@ -0,0 +1,204 @@
+#include <rhubarbrun/transport/view_client.hpp>
+
+#include <rhubarbrun/transport/event_log.hpp>
+#include <rhubarbrun/transport/worker_pool.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// A member that sent nothing useful for this long is left for another one;
+/// two requests and their round trips.
+constexpr auto member_patience = milliseconds(1400);
+
+} // namespace
+
+class view_client::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context& context, view_client_options options,
+                   view_client_hooks hooks)
+        : options_(std::move(options)),
+          hooks_(std::move(hooks)),
+          timer_(context),
+          links_(context, options_.link_key,
+                 {{peer_role::proxy, options_.address},
+                  incarnation(random_number())},
+                 {[this](const link_info& link) { on_link_up(link); },
+                  [this](const link_info&, message_type type,
+                         const std::string& payload) {
+                      on_message(type, payload);
+                  },
+                  [this](const link_info& link, std::string_view reason) {
+                      on_link_down(link, reason);
+                  }},
+                 options_.links)
+    {
+    }
+
+    auto start() -> void
+    {
+        follow_next();
+        arm_timer();
+    }
+
+    auto stop() -> void
+    {
+        is_stopped_ = true;
+        timer_.cancel();
+        links_.stop();
+    }
+
+    [[nodiscard]] auto age(time_point now) const -> std::optional<duration>
+    {
+        return current_at_ ? std::optional(now - *current_at_) : std::nullopt;
+    }
+
+    auto request() -> void
+    {
+        if (!link_) {
+            return;
+        }
+        auto message = view_request{};
+        message.configuration_version = hooks_.configuration_version();
+        message.report = {options_.address, hooks_.sightings()};
+        links_.send(*link_, message_type::view_request, encode(message));
+    }
+
+private:
+    auto on_link_up(const link_info& link) -> void
+    {
+        if (link.peer.who.name != followed_) {
+            return;
+        }
+        link_ = link.id;
+        request();
+    }
+
+    auto on_link_down(const link_info& link, std::string_view reason) -> void
+    {
+        if (link_ != link.id) {
+            return;
+        }
+        link_.reset();
+        log_event("control_lost", event_severity::warning)
+            .field("member", link.peer.who.name)
+            .field("reason", reason);
+        follow_next();
+    }
+
+    auto on_message(message_type type, const std::string& payload) -> void
+    {
+        if (type != message_type::view_update) {
+            return;
+        }
+        auto update = decode<view_update>(payload);
+        if (!update) {
+            log_event("view_update_malformed", event_severity::warning)
+                .field("member", followed_);
+            return;
+        }
+        if (update->is_current) {
+            if (!std::exchange(is_followed_current_, true)) {
+                log_event("control_followed").field("member", followed_);
+            }
+            current_at_ = steady_now();
+            followed_since_ = *current_at_;
+        }
+        if (!update->control_members.empty()) {
+            members_ = update->control_members;
+        }
+        hooks_.on_update(std::move(*update));
+    }
+
+    auto follow_next() -> void
+    {
+        auto candidates = options_.seeds();
+        candidates.insert(candidates.end(), members_.begin(), members_.end());
+        std::sort(candidates.begin(), candidates.end());
+        candidates.erase(std::unique(candidates.begin(), candidates.end()),
+                         candidates.end());
+        if (candidates.empty()) {
+            return;
+        }
+        if (!followed_.empty()) {
+            links_.forget({peer_role::control, followed_});
+        }
+        link_.reset();
+        // Processes begin with different members, which spreads their load.
+        const auto start = std::hash<std::string>()(options_.address);
+        followed_ = candidates[(start + attempts_++) % candidates.size()];
+        followed_since_ = steady_now();
+        is_followed_current_ = false;
+        links_.connect({peer_role::control, followed_},
+                       {asio::ip::make_address(followed_), options_.peer_port});
+    }
+
+    auto arm_timer() -> void
+    {
+        timer_.expires_after(options_.interval);
+        timer_.async_wait([weak = weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (!self || error || self->is_stopped_) {
+                return;
+            }
+            if (steady_now() - self->followed_since_ > member_patience) {
+                self->follow_next();
+            }
+            self->request();
+            self->arm_timer();
+        });
+    }
+
+    view_client_options options_;
+    view_client_hooks hooks_;
+    asio::steady_timer timer_;
+    peer_links links_;
+    std::vector<std::string> members_;
+    std::string followed_;
+    std::optional<link_id> link_;
+    time_point followed_since_;
+    std::optional<time_point> current_at_;
+    std::size_t attempts_ = 0;
+    bool is_followed_current_ = false;
+    bool is_stopped_ = false;
+};
+
+view_client::view_client(asio::io_context& context, view_client_options options,
+                         view_client_hooks hooks)
+    : implementation_(std::make_shared<implementation>(
+          context, std::move(options), std::move(hooks)))
+{
+}
+
+view_client::~view_client()
+{
+    implementation_->stop();
+}
+
+auto view_client::start() -> void
+{
+    implementation_->start();
+}
+
+auto view_client::stop() -> void
+{
+    implementation_->stop();
+}
+
+auto view_client::age(time_point now) const -> std::optional<duration>
+{
+    return implementation_->age(now);
+}
+
+auto view_client::report_soon() -> void
+{
+    implementation_->request();
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/transport/worker_pool.cpp
+++ b/src/transport/worker_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <rhubarbrun/transport/event_log.hpp>
 
+#include <time.h> // clock_gettime is POSIX
+
 #include <algorithm>
 #include <chrono>
 #include <exception>
@@ -49,8 +51,15 @@
 
 auto steady_now() noexcept -> time_point
 {
+    // The monotonic clock stands still while a VM is suspended; leases and
+    // ages must not.
+    auto now = timespec{};
+    if (::clock_gettime(CLOCK_BOOTTIME, &now) != 0) {
+        std::terminate();
+    }
     return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 } // namespace rhubarbrun::inline v1
