coordination: share a server's connections between the proxies

Change: control tells how many proxies there are; idle connections beyond the share are closed, and a full server gets none beyond it.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -32,12 +32,14 @@
     zone_id zone;
     /// Region of each availability zone.
     std::map<zone_id, std::string> regions;
-    /// Connections to one server that this process may use, as a divisor of
-    /// the server's limit; several processes share that limit.
-    std::uint32_t connection_share_divisor = 6;
-    std::uint32_t connections_minimum = 4;
+    /// Connections to one server that this process may open although other
+    /// processes may need them, as a multiple of its share.
+    std::size_t burst_factor = 3;
     /// Idle connections beyond the first are closed after this long.
     duration idle_limit = std::chrono::seconds(20);
+    /// Idle connections beyond this process's share of the server's limit are
+    /// closed after this long, for others to use.
+    duration surplus_idle_limit = std::chrono::milliseconds(400);
 };
 
 /// Which servers a process may use, and its connections to them.
@@ -82,6 +84,8 @@
     auto update(time_point now, const server_record& record) -> void;
     auto set_connection_limit(const group_id& group, std::uint32_t limit)
         -> void;
+    /// Processes, this included, that share the servers' connections.
+    auto set_sharers(std::uint32_t count) -> void;
 
     /// An idle connection to the best server, which is then in use; no value
     /// if there is none, after opening one where that helps.
@@ -140,6 +144,8 @@
         time_point lagging_until;
         time_point full_until;
         time_point no_connections_until;
+        /// Up to then the server is too busy for more than the share.
+        time_point burst_not_before;
         std::size_t failures = 0;
         std::optional<time_point> answered_at;
         std::optional<time_point> failing_since;
@@ -157,8 +163,7 @@
     [[nodiscard]] auto score(time_point now, const server& each,
                              bool is_primary_needed) const -> double;
     [[nodiscard]] auto base_latency(const server& each) const -> double;
-    [[nodiscard]] auto connection_limit(const server& each) const
-        -> std::size_t;
+    [[nodiscard]] auto share_of(const server& each) const -> std::size_t;
     [[nodiscard]] auto may_open(time_point now, const server& each,
                                 const demand& need) const -> bool;
     auto open(time_point now, server& each) -> void;
@@ -173,6 +178,7 @@
     std::map<target_id, server> servers_;
     std::map<connection_id, connection> connections_;
     std::map<group_id, std::uint32_t> limits_;
+    std::uint32_t sharers_;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_claim_ = 0;
 };
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -82,6 +82,8 @@
         time_point now,
         std::shared_ptr<const service_configuration> configuration) -> void;
     auto update_server(time_point now, const server_record& record) -> void;
+    /// Proxies, this included, that share the servers' connections.
+    auto set_sharers(std::uint32_t count) -> void { pool_.set_sharers(count); }
 
     /// Whether the database of a new session has a route.
     [[nodiscard]] auto has_database(const database_id& database) const -> bool;
--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -53,6 +53,7 @@
     view_request = 97,
     view_update = 98,
     sighting_report = 99,
+    proxy_census = 100,
 };
 
 /// One authenticated message.
--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -25,6 +25,19 @@
     }
 };
 
+/// Control member to the others, at regular intervals.
+struct proxy_census
+{
+    /// Proxies that follow the sender.
+    std::uint32_t proxies = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(proxies);
+    }
+};
+
 /// What a proxy sees of one server; times are in milliseconds before sending,
 /// -1 for never.
 struct sighting_record
@@ -80,12 +93,14 @@
     std::vector<server_record> servers;
     /// Names of all control members, which are their IP addresses.
     std::vector<std::string> control_members;
+    /// Proxies of the whole deployment, which share the servers' connections.
+    std::uint32_t proxies = 1;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
         archive(is_current, configuration_version, configuration, servers,
-                control_members);
+                control_members, proxies);
     }
 };
 
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -32,7 +32,15 @@
 /// A primary that leaves still takes work for this long, because its successor
 /// is being chosen; a replica takes none.
 constexpr auto leaving_primary_time = std::chrono::seconds(5);
-constexpr auto tick_interval = std::chrono::seconds(2);
+constexpr auto tick_interval = milliseconds(400);
+/// Part of a server's connections that is shared out; the rest is for control
+/// and for connections that a server still holds after their end.
+constexpr auto shared_part = 0.9;
+/// After a server was full, no connections beyond the share are opened to it
+/// for this long.
+constexpr auto burst_pause = std::chrono::seconds(2);
+/// Processes that are assumed before control told their number.
+constexpr auto assumed_sharers = std::uint32_t{16};
 
 } // namespace
 
@@ -40,7 +48,8 @@
                          close_function close)
     : options_(std::move(options)),
       open_(std::move(open)),
-      close_(std::move(close))
+      close_(std::move(close)),
+      sharers_(assumed_sharers)
 {
 }
 
@@ -161,19 +170,27 @@
     return result;
 }
 
-auto server_pool::connection_limit(const server& each) const -> std::size_t
+auto server_pool::set_sharers(std::uint32_t count) -> void
+{
+    sharers_ = std::max(count, 1U);
+}
+
+auto server_pool::share_of(const server& each) const -> std::size_t
 {
     const auto found = limits_.find(each.record.group);
     const auto total = found == limits_.end() ? 0U : found->second;
-    return std::max(options_.connections_minimum,
-                    total / options_.connection_share_divisor);
+    const auto share = shared_part * total / sharers_;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
 auto server_pool::may_open(time_point now, const server& each,
                            const demand& need) const -> bool
 {
-    return each.open < connection_limit(each) &&
-           each.connecting < need.waiting && now >= each.no_connections_until;
+    const auto share = share_of(each);
+    const auto limit =
+        now < each.burst_not_before ? share : share * options_.burst_factor;
+    return each.open < limit && each.connecting < need.waiting &&
+           now >= each.no_connections_until;
 }
 
 auto server_pool::choose(time_point now, const demand& need)
@@ -249,6 +266,7 @@
     connections_.erase(found);
     if (reason == connect_failure::connection_limit) {
         each.no_connections_until = now + connection_limit_pause;
+        each.burst_not_before = now + burst_pause;
         each.answered_at = now;
         return;
     }
@@ -326,6 +344,7 @@
 {
     if (const auto found = servers_.find(id); found != servers_.end()) {
         found->second.full_until = now + full_pause;
+        found->second.burst_not_before = now + burst_pause;
     }
 }
 
@@ -392,6 +411,13 @@
 {
     for (auto& [id, each] : servers_) {
         close_idle(now, each, 1, options_.idle_limit);
+        // Idle connections are the surplus as far as there are any.
+        const auto share = share_of(each);
+        if (each.open > share) {
+            const auto surplus = std::min(each.open - share, each.idle.size());
+            close_idle(now, each, each.idle.size() - surplus,
+                       options_.surplus_idle_limit);
+        }
     }
     return now + tick_interval;
 }
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -27,6 +27,10 @@
 /// configurations.
 constexpr auto leader_silence_limit = milliseconds(1500);
 
+/// Members tell each other how many proxies follow them this often; what one
+/// told counts for three times as long.
+constexpr auto census_interval = std::chrono::seconds(1);
+
 auto to_peer(const member_id& id) -> peer_name
 {
     return {peer_role::control, id.value()};
@@ -167,6 +171,8 @@
         -> void;
     auto on_report(const sighting_report& report) -> void;
     auto share(const server_record& record) -> void;
+    auto send_census() -> void;
+    [[nodiscard]] auto proxy_count() const -> std::uint32_t;
     auto send_update(link_id link, subscriber& to) -> void;
     auto push_updates() -> void;
     [[nodiscard]] auto is_current() const -> bool;
@@ -192,6 +198,8 @@
     server_directory directory_;
     primary_supervisor supervisor_;
     std::map<link_id, subscriber> proxies_;
+    /// Proxies that follow the other members, and when those told so.
+    std::map<std::string, std::pair<std::uint32_t, time_point>> census_;
     std::set<std::string> connected_;
     std::multimap<log_index, pending_submission> submissions_;
     std::map<read_ticket, pending_read> reads_;
@@ -332,6 +340,11 @@
                 on_report(*message);
             }
             break;
+        case message_type::proxy_census:
+            if (const auto message = decode<proxy_census>(payload)) {
+                census_[link.peer.who.name] = {message->proxies, steady_now()};
+            }
+            break;
         default:
             log_event("message_ignored", event_severity::warning)
                 .field("type", static_cast<int>(type));
@@ -391,9 +404,34 @@
     update.servers = directory_.changed_since(to.directory_revision);
     to.directory_revision = directory_.revision();
     update.control_members = member_names();
+    update.proxies = proxy_count();
     links_.send(link, message_type::view_update, encode(update));
 }
 
+auto configuration_node::implementation::send_census() -> void
+{
+    const auto bytes =
+        encode(proxy_census{static_cast<std::uint32_t>(proxies_.size())});
+    for (const auto& name : member_names()) {
+        if (name != options_.address) {
+            links_.send({peer_role::control, name}, message_type::proxy_census,
+                        bytes);
+        }
+    }
+}
+
+auto configuration_node::implementation::proxy_count() const -> std::uint32_t
+{
+    auto count = static_cast<std::uint32_t>(proxies_.size());
+    const auto now = steady_now();
+    for (const auto& [name, told] : census_) {
+        if (now - told.second < 3 * census_interval) {
+            count += told.first;
+        }
+    }
+    return count;
+}
+
 auto configuration_node::implementation::push_updates() -> void
 {
     for (auto& [link, to] : proxies_) {
@@ -649,8 +687,9 @@
             const auto at = steady_now();
             self->member_->tick(at);
             if (at >= self->next_look_) {
-                self->next_look_ = at + std::chrono::seconds(1);
+                self->next_look_ = at + census_interval;
                 self->look_for_members();
+                self->send_census();
             }
             if (at >= self->next_supervision_) {
                 self->next_supervision_ = at + supervision_interval;
--- /dev/null
+++ b/tests/coordination/relay_harness.hpp
@@ -0,0 +1,225 @@
+#ifndef RHUBARBRUN_TESTS_COORDINATION_RELAY_HARNESS_HPP
+#define RHUBARBRUN_TESTS_COORDINATION_RELAY_HARNESS_HPP
+
+#include <rhubarbrun/coordination/session_relay.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun_tests {
+
+using namespace rhubarbrun;
+
+/// A `session_relay` in virtual time, with one group "g" of three servers: "p"
+/// (primary), "r1" and "r2". Connections open at once unless told otherwise;
+/// servers answer only when the test says so.
+class relay_harness
+{
+public:
+    struct sent_statement
+    {
+        connection_id connection;
+        relay_statement statement;
+    };
+
+    relay_harness() : relay({zone_id("a"), {}}, make_hooks())
+    {
+        auto configuration = service_configuration{};
+        configuration.version = 1;
+        configuration.groups[group_id("g")] = {90, 0};
+        configuration.transaction_idle_limit = milliseconds(3000);
+        add(configuration, "orders", read_consistency::primary);
+        add(configuration, "stock", read_consistency::bounded_staleness);
+        add(configuration, "sheets", read_consistency::read_your_writes);
+        relay.set_configuration(
+            now, std::make_shared<const service_configuration>(configuration));
+        announce("p", server_role::primary);
+        announce("r1", server_role::replica);
+        announce("r2", server_role::replica);
+    }
+
+    static auto add(service_configuration& configuration,
+                    const std::string& name, read_consistency consistency)
+        -> void
+    {
+        auto route = database_route{};
+        route.name = name;
+        route.database = database_id(name);
+        route.group = group_id("g");
+        route.consistency = consistency;
+        route.staleness_limit = milliseconds(1500);
+        route.statement_timeout = milliseconds(1000);
+        route.latency_objective = milliseconds(500);
+        add_route(configuration, route);
+    }
+
+    auto announce(const std::string& name, server_role role,
+                  server_availability state = server_availability::ready)
+        -> void
+    {
+        auto record = server_record{};
+        record.id = target_id(name);
+        record.group = group_id("g");
+        record.address = "127.0.0.1:1";
+        record.zone = zone_id("a");
+        record.role = role;
+        record.state = state;
+        record.slots = 5;
+        record.sequence = ++sequence_;
+        relay.update_server(now, record);
+        settle();
+    }
+
+    auto start(const std::string& database) -> session_id
+    {
+        const auto id = session_id(++last_session_);
+        relay.start_session(now, id, database_id(database));
+        return id;
+    }
+
+    auto ask(session_id id, relay_step step, const std::string& text = {},
+             const std::string& name = {}, bool is_read_only = false) -> void
+    {
+        auto statement = relay_statement{};
+        statement.id = "q" + std::to_string(++last_request_);
+        statement.step = step;
+        statement.name = name;
+        statement.text = text;
+        statement.is_read_only = is_read_only;
+        relay.on_statement(now, id, statement);
+        settle();
+    }
+
+    /// The server that owes the oldest statement answers it.
+    auto answer(relay_error error = relay_error::none,
+                std::uint64_t position = 100, std::uint64_t at_term = 1)
+        -> relay_statement
+    {
+        const auto first = sent.front();
+        sent.pop_front();
+        auto reply = relay_reply{};
+        reply.error = error;
+        reply.detail = "proof";
+        reply.position = log_position{term(at_term), log_offset(position)};
+        auto& status =
+            statuses_.try_emplace(first.connection, transaction_status::idle)
+                .first->second;
+        if (error == relay_error::none) {
+            if (first.statement.step == relay_step::begin) {
+                status = transaction_status::in_transaction;
+            } else if (first.statement.step == relay_step::commit ||
+                       first.statement.step == relay_step::rollback)
+            {
+                status = transaction_status::idle;
+            }
+        }
+        reply.status = status;
+        relay.on_reply(now, first.connection, reply);
+        settle();
+        return first.statement;
+    }
+
+    /// All statements that are owed are answered with success.
+    auto answer_all(std::uint64_t position = 100) -> void
+    {
+        while (!sent.empty()) {
+            answer(relay_error::none, position);
+        }
+    }
+
+    auto server_of(const sent_statement& each) -> std::string
+    {
+        return servers_.at(each.connection);
+    }
+
+    auto lose(connection_id id) -> void
+    {
+        std::erase_if(sent,
+                      [&](const auto& each) { return each.connection == id; });
+        relay.on_connection_lost(now, id);
+        settle();
+    }
+
+    auto pass(duration length) -> void
+    {
+        const auto end = now + length;
+        while (now < end) {
+            now = std::min(end, now + milliseconds(5));
+            relay.tick(now);
+            settle();
+        }
+    }
+
+    /// Opens what was asked for; a refused server refuses.
+    auto settle() -> void
+    {
+        while (!opening_.empty() && !is_holding) {
+            const auto id = opening_.front();
+            opening_.pop_front();
+            ++opened;
+            const auto& server = servers_.at(id);
+            if (refusals.contains(server)) {
+                relay.on_connect_failed(now, id, refusals.at(server));
+            } else {
+                relay.on_connected(now, id);
+            }
+        }
+    }
+
+    auto last_reply(session_id id) -> relay_reply&
+    {
+        return replies.at(id).back();
+    }
+
+    time_point now = time_point(std::chrono::seconds(100));
+    std::deque<sent_statement> sent;
+    std::map<session_id, std::vector<relay_reply>> replies;
+    std::vector<session_id> closed;
+    std::map<std::string, connect_failure> refusals;
+    std::vector<connection_id> closed_connections;
+    std::size_t opened = 0;
+    /// Connections stay unopened.
+    bool is_holding = false;
+    session_relay relay;
+
+private:
+    auto make_hooks() -> relay_hooks
+    {
+        auto hooks = relay_hooks{};
+        hooks.reply = [this](session_id id, const relay_reply& reply) {
+            replies[id].push_back(reply);
+        };
+        hooks.close_session = [this](session_id id) {
+            closed.push_back(id);
+        };
+        hooks.send = [this](connection_id id,
+                            const std::vector<relay_statement>& statements) {
+            for (const auto& each : statements) {
+                sent.push_back({id, each});
+            }
+        };
+        hooks.open = [this](connection_id id, const server_record& server) {
+            servers_[id] = server.id.value();
+            opening_.push_back(id);
+        };
+        hooks.close = [this](connection_id id) {
+            closed_connections.push_back(id);
+        };
+        return hooks;
+    }
+
+    std::map<connection_id, std::string> servers_;
+    std::map<connection_id, transaction_status> statuses_;
+    std::deque<connection_id> opening_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t last_session_ = 0;
+    std::uint64_t last_request_ = 0;
+};
+
+} // namespace rhubarbrun_tests
+
+#endif
--- /dev/null
+++ b/tests/coordination/session_relay_test.cpp
@@ -0,0 +1,269 @@
+#include "relay_harness.hpp"
+
+#include <doctest/doctest.h>
+
+namespace rhubarbrun_tests {
+
+TEST_CASE("session relay: values and names are answered without a server")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::set_value, "v", "n");
+    harness.ask(caller, relay_step::prepare, "shape", "s", true);
+    harness.ask(caller, relay_step::begin);
+    harness.ask(caller, relay_step::rollback);
+    CHECK(harness.replies[caller].size() == 4);
+    CHECK(harness.sent.empty());
+}
+
+TEST_CASE("session relay: a replaced primary runs no read of a primary route")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::read, "item");
+    REQUIRE(harness.sent.size() == 1);
+    CHECK(harness.server_of(harness.sent.front()) == "p");
+    // Only the beginning of a transaction is sent before the server proved
+    // that it is the primary.
+    CHECK(harness.answer(relay_error::read_only).step == relay_step::begin);
+    CHECK(harness.sent.empty());
+    harness.announce("r1", server_role::primary);
+    harness.pass(milliseconds(50));
+    REQUIRE(!harness.sent.empty());
+    CHECK(harness.server_of(harness.sent.front()) == "r1");
+    harness.answer();
+    CHECK(harness.answer().step == relay_step::read);
+    CHECK(harness.last_reply(caller).is_success());
+}
+
+TEST_CASE("session relay: replicas are told the position that a read needs")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("stock");
+    harness.ask(caller, relay_step::read, "item");
+    // Nothing is known of the primary's log yet.
+    REQUIRE(harness.sent.size() == 1);
+    CHECK(harness.sent.front().statement.step == relay_step::begin);
+    harness.answer(relay_error::none, 42);
+    const auto found = std::find_if(
+        harness.sent.begin(), harness.sent.end(), [](const auto& each) {
+            return each.statement.step == relay_step::read;
+        });
+    REQUIRE(found != harness.sent.end());
+    REQUIRE(found->statement.floor);
+    CHECK(found->statement.floor->offset == log_offset(42));
+}
+
+TEST_CASE("session relay: a session reads its own commit at any server")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("sheets");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer(relay_error::none, 77);
+    REQUIRE(harness.last_reply(caller).is_success());
+    harness.ask(caller, relay_step::read, "item");
+    REQUIRE(!harness.sent.empty());
+    REQUIRE(harness.sent.back().statement.floor);
+    CHECK(harness.sent.back().statement.floor->offset == log_offset(77));
+    CHECK(harness.answer(relay_error::lagging).step == relay_step::read);
+    // Another server is asked.
+    REQUIRE(!harness.sent.empty());
+    harness.answer();
+    CHECK(harness.last_reply(caller).is_success());
+}
+
+TEST_CASE("session relay: the end of a former log is not required after a "
+          "change of primary")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("sheets");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer(relay_error::none, 500, 1);
+    harness.announce("r1", server_role::primary);
+    const auto other = harness.start("sheets");
+    harness.ask(other, relay_step::write, "item data");
+    REQUIRE(harness.server_of(harness.sent.back()) == "r1");
+    harness.answer(relay_error::none, 490, 2);
+    harness.ask(caller, relay_step::read, "item");
+    REQUIRE(harness.sent.back().statement.floor);
+    CHECK(harness.sent.back().statement.floor->group_term == term(2));
+    CHECK(harness.sent.back().statement.floor->offset == log_offset(490));
+}
+
+TEST_CASE("session relay: a write whose answer is lost stays in doubt")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::write, "item data");
+    REQUIRE(harness.sent.size() == 1);
+    harness.lose(harness.sent.front().connection);
+    CHECK(harness.last_reply(caller).error == relay_error::in_doubt);
+    CHECK(harness.sent.empty());
+}
+
+TEST_CASE("session relay: a read whose answer is lost runs at another server")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("sheets");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer();
+    harness.ask(caller, relay_step::read, "item");
+    const auto first = harness.server_of(harness.sent.back());
+    harness.lose(harness.sent.back().connection);
+    REQUIRE(!harness.sent.empty());
+    CHECK(harness.server_of(harness.sent.back()) != first);
+    harness.answer_all();
+    CHECK(harness.last_reply(caller).is_success());
+}
+
+TEST_CASE("session relay: a lost connection aborts an open transaction, and "
+          "only a sent commit is in doubt")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::begin);
+    harness.ask(caller, relay_step::write, "item data");
+    const auto connection = harness.sent.front().connection;
+    harness.answer_all();
+    SUBCASE("between statements")
+    {
+        harness.lose(connection);
+        harness.ask(caller, relay_step::write, "item data");
+        CHECK(harness.last_reply(caller).error == relay_error::aborted);
+        CHECK(harness.last_reply(caller).status == transaction_status::failed);
+        harness.ask(caller, relay_step::read, "item");
+        CHECK(harness.last_reply(caller).error == relay_error::malformed);
+        harness.ask(caller, relay_step::rollback);
+        CHECK(harness.last_reply(caller).status == transaction_status::idle);
+    }
+    SUBCASE("while the commit runs")
+    {
+        harness.ask(caller, relay_step::commit);
+        harness.lose(connection);
+        CHECK(harness.last_reply(caller).error == relay_error::in_doubt);
+        CHECK(harness.last_reply(caller).status == transaction_status::idle);
+    }
+}
+
+TEST_CASE("session relay: a connection carries the values of its session only")
+{
+    auto harness = relay_harness();
+    const auto first = harness.start("orders");
+    harness.ask(first, relay_step::set_value, "v1", "n1");
+    harness.ask(first, relay_step::write, "item data");
+    CHECK(harness.sent.front().statement.step == relay_step::set_value);
+    harness.answer_all();
+    const auto second = harness.start("orders");
+    harness.ask(second, relay_step::set_value, "v2", "n2");
+    harness.ask(second, relay_step::write, "item data");
+    REQUIRE(harness.sent.size() == 3);
+    CHECK(harness.sent[0].statement.step == relay_step::discard);
+    CHECK(harness.sent[1].statement.name == "n2");
+    CHECK(harness.sent[2].statement.step == relay_step::write);
+}
+
+TEST_CASE("session relay: sessions share prepared statements by their shape")
+{
+    auto harness = relay_harness();
+    for (const auto* const name : {"s1", "other"}) {
+        const auto caller = harness.start("orders");
+        harness.ask(caller, relay_step::prepare, "shape", name, false);
+        harness.ask(caller, relay_step::execute, "item data", name);
+        const auto is_first = std::string_view(name) == "s1";
+        CHECK(harness.sent.size() == (is_first ? 2 : 1));
+        CHECK(harness.sent.back().statement.name == "w_shape");
+        harness.answer_all();
+    }
+}
+
+TEST_CASE("session relay: a transaction whose caller left is rolled back "
+          "before its connection is used again")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::begin);
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer_all();
+    harness.relay.end_session(harness.now, caller);
+    REQUIRE(harness.sent.size() == 1);
+    CHECK(harness.sent.front().statement.step == relay_step::rollback);
+}
+
+TEST_CASE("session relay: an idle transaction is ended after its limit")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::begin);
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer_all();
+    harness.pass(milliseconds(4000));
+    REQUIRE(!harness.sent.empty());
+    CHECK(harness.sent.front().statement.step == relay_step::rollback);
+    harness.answer_all();
+    harness.ask(caller, relay_step::commit);
+    CHECK(harness.last_reply(caller).error == relay_error::aborted);
+}
+
+TEST_CASE("session relay: a statement that no server took is told as not run")
+{
+    auto harness = relay_harness();
+    harness.refusals["p"] = connect_failure::refused;
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.pass(milliseconds(1100));
+    CHECK(harness.last_reply(caller).error == relay_error::retry);
+    CHECK(harness.sent.empty());
+}
+
+TEST_CASE("session relay: a drain closes idle sessions and lets requests end")
+{
+    auto harness = relay_harness();
+    const auto idle = harness.start("orders");
+    const auto busy = harness.start("orders");
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(2000));
+    CHECK(harness.closed.empty());
+    harness.ask(busy, relay_step::write, "item data");
+    harness.pass(milliseconds(500));
+    CHECK(harness.closed == std::vector<session_id>{idle});
+    harness.answer_all();
+    CHECK(harness.last_reply(busy).is_success());
+    harness.pass(milliseconds(200));
+    CHECK(harness.closed.size() == 2);
+}
+
+// Pattern: connection hoarding after a burst. Processes that held more than
+// their share of a primary's connections kept them, and others were refused.
+TEST_CASE("session relay: connections beyond the share are given back")
+{
+    auto harness = relay_harness();
+    harness.relay.set_sharers(18); // 90 connections: a share of 4
+    auto callers = std::vector<session_id>();
+    for (auto count = 0; count < 10; ++count) {
+        callers.push_back(harness.start("orders"));
+        harness.ask(callers.back(), relay_step::write, "item data");
+    }
+    CHECK(harness.opened > 4);
+    harness.answer_all();
+    harness.pass(milliseconds(1500));
+    CHECK(harness.opened - harness.closed_connections.size() == 4);
+}
+
+// Pattern: a full server gets ever more connections, which hold none of its
+// slots but starve other processes.
+TEST_CASE("session relay: a full server gets no connections beyond the share")
+{
+    auto harness = relay_harness();
+    harness.relay.set_sharers(18);
+    const auto first = harness.start("orders");
+    harness.ask(first, relay_step::write, "item data");
+    harness.answer(relay_error::retry);
+    harness.pass(milliseconds(30));
+    for (auto count = 0; count < 10; ++count) {
+        harness.ask(harness.start("orders"), relay_step::write, "item data");
+    }
+    harness.pass(milliseconds(100));
+    CHECK(harness.opened == 4);
+}
+
+} // namespace rhubarbrun_tests
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,153 @@
+#include "documents.hpp"
+#include "node_settings.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+
+namespace rhubarbrun_tests {
+
+using namespace rhubarbrun;
+using namespace rhubarbrun::platform;
+
+namespace {
+
+const auto configuration_text = std::string(
+    R"({"version":7,"routes":[{"name":"r1","host":"db1","pathPrefix":"/",)"
+    R"("type":"read_your_writes","timeoutMs":1000,"targetLatencyMs":900,)"
+    R"("priority":2,"service":"g1","maxAttempts":2,"maxStalenessMs":2500}],)"
+    R"("services":[{"name":"g1","maxConns":86,"syncReplicas":0}],)"
+    R"("limits":{"txIdleMs":3000}})");
+
+const auto announcement_text = std::string(
+    R"({"service":"g1","address":"10.128.0.9:8080","zone":"a","capacity":3,)"
+    R"("state":"ready","coldLeftMs":0,"dbRole":"replica","seqNo":4,)"
+    R"("born":1700000000000})");
+
+auto replaced(std::string text, const std::string& from, const std::string& to)
+    -> std::string
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("documents: a configuration")
+{
+    const auto read = parse_configuration(configuration_text);
+    CHECK(read.version == 7);
+    const auto* const route = read.find(database_id("db1"));
+    REQUIRE(route != nullptr);
+    CHECK(route->consistency == read_consistency::read_your_writes);
+    CHECK(route->statement_timeout == milliseconds(1000));
+    CHECK(route->staleness_limit == milliseconds(2500));
+    CHECK(read.groups.at(group_id("g1")).connections_per_server == 86);
+    CHECK(read.transaction_idle_limit == milliseconds(3000));
+}
+
+TEST_CASE("documents: an invalid configuration is refused")
+{
+    const auto refuse = [](const std::string& text) {
+        CHECK_THROWS_AS(static_cast<void>(parse_configuration(text)),
+                        configuration_error);
+    };
+    refuse(configuration_text.substr(0, configuration_text.size() / 2));
+    refuse(replaced(configuration_text, "\"service\":\"g1\"",
+                    "\"service\":\"g2\""));
+    refuse(
+        replaced(configuration_text, "\"timeoutMs\":1000", "\"timeoutMs\":0"));
+    refuse(replaced(configuration_text, "\"timeoutMs\":1000",
+                    "\"timeoutMs\":\"soon\""));
+    refuse(replaced(configuration_text, "read_your_writes", "any"));
+    refuse(replaced(configuration_text, "\"version\":7", "\"version\":-7"));
+    refuse("[]");
+    refuse("");
+    const auto route = configuration_text.substr(
+        configuration_text.find("{\"name\":\"r1\""),
+        configuration_text.find("],\"services\"") -
+            configuration_text.find("{\"name\":\"r1\""));
+    refuse(replaced(configuration_text, route, route + "," + route));
+}
+
+TEST_CASE("documents: an announcement names a server only if it is whole")
+{
+    const auto record = parse_announcement("i-1", announcement_text);
+    REQUIRE(record);
+    CHECK(record->id == target_id("i-1"));
+    CHECK(record->slots == 3);
+    CHECK(record->started_at == 1'700'000'000'000U);
+    for (const auto* const field :
+         {"service", "address", "zone", "capacity", "state", "dbRole", "seqNo"})
+    {
+        const auto broken =
+            replaced(announcement_text, "\"" + std::string(field) + "\"",
+                     "\"no_" + std::string(field) + "\"");
+        CHECK(!parse_announcement("i-1", broken));
+    }
+    CHECK(!parse_announcement("", announcement_text));
+    CHECK(!parse_announcement(
+        "i-1", replaced(announcement_text, "\"ready\"", "\"asleep\"")));
+}
+
+TEST_CASE("documents: damaged bytes are refused or read, and crash nothing")
+{
+    auto random = std::mt19937_64(2);
+    for (auto round = 0; round < 5'000; ++round) {
+        auto announcement = announcement_text;
+        announcement[random() % announcement.size()] =
+            static_cast<char>(random());
+        static_cast<void>(parse_announcement("i-1", announcement));
+        auto configuration = configuration_text;
+        configuration[random() % configuration.size()] =
+            static_cast<char>(random());
+        try {
+            static_cast<void>(parse_configuration(configuration));
+        } catch (const configuration_error&) {
+            CHECK(true);
+        }
+    }
+}
+
+TEST_CASE("node settings: known fields are read and others ignored")
+{
+    const auto settings = parse_node_settings(R"(
+        nodeName = "core-1"
+        ip = "10.1.0.11"
+        zone = "a"
+        internalPorts = [7440, 7455]
+        seeds = ["10.1.0.11:8782", "10.2.0.9:8782"]
+        bootstrap = true
+        dataDir = "/data/x"
+        later = { field = 1 }
+        [zones]
+        a = "r"
+        [listen]
+        control = "10.1.0.11:8782"
+        [faultTolerance]
+        machines = 2
+        [bounds]
+        graceS = 6
+        [cloud]
+        address = "10.200.0.160:8783"
+    )");
+    CHECK(settings.peer_port == 7440);
+    CHECK(settings.seeds == std::vector<std::string>{"10.1.0.11", "10.2.0.9"});
+    CHECK(settings.is_first_start);
+    CHECK(settings.tolerated_losses == 2);
+    CHECK(settings.regions.at(zone_id("a")) == "r");
+    CHECK(settings.control_listen == "10.1.0.11:8782");
+    CHECK(settings.callers_listen.empty());
+}
+
+TEST_CASE("node settings: a fault is told with its place")
+{
+    CHECK_THROWS_WITH_AS(static_cast<void>(parse_node_settings("a = \n")),
+                         doctest::Contains("line 1"), node_settings_error);
+    CHECK_THROWS_WITH_AS(static_cast<void>(parse_node_settings("ip = \"x\"")),
+                         doctest::Contains("nodeName"), node_settings_error);
+}
+
+} // namespace rhubarbrun_tests
