transport: faster restart, compressed configurations, control in the own region

Cause: after a loss of all power the first request waited for an election, for announcements and for a link that took 700 ms to fail; each proxy received each configuration, from another region and uncompressed.

--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -30,11 +30,13 @@
 {
     /// Proxies that follow the sender.
     std::uint32_t proxies = 0;
+    /// Region of the sender.
+    std::string region;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(proxies);
+        archive(proxies, region);
     }
 };
 
@@ -80,6 +82,21 @@
     }
 };
 
+/// A control member as a proxy may follow it.
+struct control_member_record
+{
+    /// IP address, which is also the name.
+    std::string address;
+    /// Empty if it is not known.
+    std::string region;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(address, region);
+    }
+};
+
 /// Control to proxy, as an answer and whenever something changed.
 struct view_update
 {
@@ -87,12 +104,11 @@
     /// every accepted configuration.
     bool is_current = false;
     std::uint64_t configuration_version = 0;
-    /// Empty if the proxy holds this version.
+    /// Compressed document; empty if the proxy holds this version.
     std::string configuration;
     /// Changed since the last update on the link.
     std::vector<server_record> servers;
-    /// Names of all control members, which are their IP addresses.
-    std::vector<std::string> control_members;
+    std::vector<control_member_record> control_members;
     /// Proxies of the whole deployment, which share the servers' connections.
     std::uint32_t proxies = 1;
 
--- a/include/rhubarbrun/state/configuration_history.hpp
+++ b/include/rhubarbrun/state/configuration_history.hpp
@@ -11,16 +11,17 @@
 
 namespace rhubarbrun::inline v1 {
 
-/// A configuration as it was submitted: its number and its unparsed document.
+/// A configuration as it was submitted: its number and its document, which is
+/// compressed and not parsed here.
 struct configuration_document
 {
     std::uint64_t version = 0;
-    std::string text;
+    std::string packed;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(version, text);
+        archive(version, packed);
     }
 };
 
--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -24,6 +24,7 @@
 {
     /// IP address of this member, which is also its name.
     std::string address;
+    std::string region;
     /// Port for links between processes, the same at all of them.
     std::uint16_t peer_port = 0;
     std::filesystem::path data_directory;
@@ -44,8 +45,9 @@
 struct configuration_node_hooks
 {
     primary_supervisor_hooks supervisor;
-    /// A configuration is in force.
-    std::function<void(const configuration_document&)> on_configuration;
+    /// A configuration is in force; `text` is its document.
+    std::function<void(std::uint64_t version, const std::string& text)>
+        on_configuration;
     /// The node cannot go on; called once.
     std::function<void(const std::string& reason)> on_failure;
 };
@@ -69,8 +71,10 @@
 {
 public:
     using submit_callback = std::function<void(submit_outcome)>;
-    /// Receives the newest configuration, or null if that is not certain.
-    using read_callback = std::function<void(const configuration_document*)>;
+    /// Receives the document of the newest configuration, which is empty if
+    /// there is none yet; no value if it is not certain which is the newest.
+    using read_callback =
+        std::function<void(const std::optional<std::string>&)>;
 
     configuration_node(asio::io_context& context,
                        configuration_node_options options,
@@ -84,7 +88,9 @@
     auto start() -> void;
     auto stop() -> void;
 
-    auto submit(configuration_document document, submit_callback done) -> void;
+    /// Submits a valid document under its version.
+    auto submit(std::uint64_t version, const std::string& text,
+                submit_callback done) -> void;
     auto read(read_callback done) -> void;
     /// Takes an announcement in; returns false if it is outdated.
     auto announce(const server_record& record) -> bool;
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -21,6 +21,7 @@
 {
     /// IP address of this process, which is also its name.
     std::string address;
+    std::string region;
     /// Port for links between processes, the same at all of them.
     std::uint16_t peer_port = 0;
     /// IP addresses of some control members, read again whenever none answers.
@@ -43,9 +44,9 @@
 
 /// Keeps a proxy's view of servers and configuration up to date.
 ///
-/// It follows one control member, and moves on to another one if that is
-/// silent or out of contact with the leader. The io_context must run on one
-/// thread.
+/// It follows one control member, of its own region if there is one, and moves
+/// on to another one if that is silent or out of contact with the leader. The
+/// io_context must run on one thread.
 class view_client
 {
 public:
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -1,10 +1,12 @@
 #include <rhubarbrun/transport/configuration_node.hpp>
 
 #include <rhubarbrun/coordination/consensus.hpp>
+#include <rhubarbrun/protocol/text_compression.hpp>
 #include <rhubarbrun/protocol/view_messages.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/json.hpp>
 #include <rhubarbrun/transport/log_files.hpp>
+#include <rhubarbrun/transport/server_cache.hpp>
 #include <rhubarbrun/transport/worker_pool.hpp>
 
 #include <algorithm>
@@ -30,6 +32,8 @@
 /// Members tell each other how many proxies follow them this often; what one
 /// told counts for three times as long.
 constexpr auto census_interval = std::chrono::seconds(1);
+/// The file of known servers is written at most this often.
+constexpr auto cache_interval = milliseconds(250);
 
 auto to_peer(const member_id& id) -> peer_name
 {
@@ -50,6 +54,7 @@
           timer_(context),
           files_({options_.data_directory, member_id(options_.address)},
                  random_number),
+          cache_(options_.data_directory / "view" / "servers"),
           links_(
               context, options_.link_key,
               {{peer_role::control, options_.address},
@@ -90,13 +95,18 @@
         const auto address = asio::ip::make_address(options_.address);
         links_.listen({address, options_.peer_port});
         look_for_members();
+        for (const auto& record : cache_.load()) {
+            directory_.merge(steady_now(), record);
+        }
+        cached_revision_ = directory_.revision();
         if (history_.newest().version > 0) {
-            hooks_.on_configuration(history_.newest());
+            tell_configuration();
         }
         log_event("control_started")
             .field("member", files_.identity())
             .field("founding", options_.is_founding)
-            .field("configuration", history_.newest().version);
+            .field("configuration", history_.newest().version)
+            .field("servers", directory_.entries().size());
         pump();
         arm_timer();
     }
@@ -108,7 +118,8 @@
         links_.stop();
     }
 
-    auto submit(configuration_document document, submit_callback done) -> void;
+    auto submit(std::uint64_t version, const std::string& text,
+                submit_callback done) -> void;
     auto read(read_callback done) -> void;
     auto announce(const server_record& record, bool is_shared) -> bool;
     auto withdraw(const target_id& server) -> void;
@@ -172,6 +183,8 @@
     auto on_report(const sighting_report& report) -> void;
     auto share(const server_record& record) -> void;
     auto send_census() -> void;
+    auto save_servers(time_point now) -> void;
+    auto tell_configuration() -> void;
     [[nodiscard]] auto proxy_count() const -> std::uint32_t;
     auto send_update(link_id link, subscriber& to) -> void;
     auto push_updates() -> void;
@@ -192,14 +205,17 @@
     configuration_node_hooks hooks_;
     asio::steady_timer timer_;
     log_files files_;
+    server_cache cache_;
     peer_links links_;
     std::unique_ptr<consensus_member> member_;
     configuration_history history_;
     server_directory directory_;
     primary_supervisor supervisor_;
     std::map<link_id, subscriber> proxies_;
-    /// Proxies that follow the other members, and when those told so.
-    std::map<std::string, std::pair<std::uint32_t, time_point>> census_;
+    /// What the other members told last, and when.
+    std::map<std::string, std::pair<proxy_census, time_point>> census_;
+    std::uint64_t cached_revision_ = 0;
+    time_point next_cache_save_;
     std::set<std::string> connected_;
     std::multimap<log_index, pending_submission> submissions_;
     std::map<read_ticket, pending_read> reads_;
@@ -342,7 +358,7 @@
             break;
         case message_type::proxy_census:
             if (const auto message = decode<proxy_census>(payload)) {
-                census_[link.peer.who.name] = {message->proxies, steady_now()};
+                census_[link.peer.who.name] = {*message, steady_now()};
             }
             break;
         default:
@@ -398,20 +414,26 @@
     update.is_current = is_current();
     update.configuration_version = history_.newest().version;
     if (to.configuration_version < history_.newest().version) {
-        update.configuration = history_.newest().text;
+        update.configuration = history_.newest().packed;
         to.configuration_version = history_.newest().version;
     }
     update.servers = directory_.changed_since(to.directory_revision);
     to.directory_revision = directory_.revision();
-    update.control_members = member_names();
+    for (const auto& name : member_names()) {
+        const auto told = census_.find(name);
+        const auto region = name == options_.address ? options_.region
+                            : told == census_.end()  ? std::string()
+                                                    : told->second.first.region;
+        update.control_members.push_back({name, region});
+    }
     update.proxies = proxy_count();
     links_.send(link, message_type::view_update, encode(update));
 }
 
 auto configuration_node::implementation::send_census() -> void
 {
-    const auto bytes =
-        encode(proxy_census{static_cast<std::uint32_t>(proxies_.size())});
+    const auto bytes = encode(proxy_census{
+        static_cast<std::uint32_t>(proxies_.size()), options_.region});
     for (const auto& name : member_names()) {
         if (name != options_.address) {
             links_.send({peer_role::control, name}, message_type::proxy_census,
@@ -426,7 +448,7 @@
     const auto now = steady_now();
     for (const auto& [name, told] : census_) {
         if (now - told.second < 3 * census_interval) {
-            count += told.first;
+            count += told.first.proxies;
         }
     }
     return count;
@@ -489,7 +511,24 @@
     }
 }
 
-auto configuration_node::implementation::submit(configuration_document document,
+auto configuration_node::implementation::tell_configuration() -> void
+{
+    hooks_.on_configuration(history_.newest().version,
+                            decompress_text(history_.newest().packed));
+}
+
+auto configuration_node::implementation::save_servers(time_point now) -> void
+{
+    if (directory_.revision() == cached_revision_ || now < next_cache_save_) {
+        return;
+    }
+    cached_revision_ = directory_.revision();
+    next_cache_save_ = now + cache_interval;
+    cache_.save(directory_.changed_since(0));
+}
+
+auto configuration_node::implementation::submit(std::uint64_t version,
+                                                const std::string& text,
                                                 submit_callback done) -> void
 {
     run([&] {
@@ -504,8 +543,8 @@
             done(submit_outcome::unknown);
             return;
         }
-        const auto result =
-            member_->propose(now, configuration_history::encode(document));
+        const auto result = member_->propose(
+            now, configuration_history::encode({version, compress_text(text)}));
         if (const auto* const added = std::get_if<proposal>(&result)) {
             submissions_.emplace(
                 added->index,
@@ -526,7 +565,7 @@
                            pending_read{now, std::nullopt, std::move(done)});
             return;
         }
-        done(nullptr);
+        done(std::nullopt);
     });
 }
 
@@ -563,7 +602,9 @@
     if (ready.is_restore) {
         history_.load(ready.snapshot->data);
         applied_ = snapshot_index_ = ready.snapshot->metadata.index;
-        hooks_.on_configuration(history_.newest());
+        if (history_.newest().version > 0) {
+            tell_configuration();
+        }
         push_updates();
     }
     for (const auto& entry : ready.committed) {
@@ -580,7 +621,7 @@
         }
         const auto done = std::move(found->second.done);
         reads_.erase(found);
-        done(nullptr);
+        done(std::nullopt);
     }
 }
 
@@ -590,9 +631,9 @@
     if (entry.kind == entry_kind::command && history_.apply(entry.command)) {
         log_event("configuration_in_force")
             .field("version", history_.newest().version)
-            .field("bytes", history_.newest().text.size())
+            .field("bytes", history_.newest().packed.size())
             .field("index", entry.index);
-        hooks_.on_configuration(history_.newest());
+        tell_configuration();
         push_updates();
     } else if (entry.kind == entry_kind::configuration) {
         log_event("members_changed")
@@ -640,7 +681,9 @@
         }
     }
     for (const auto& done : finished) {
-        done(&history_.newest());
+        done(history_.newest().version == 0
+                 ? std::string()
+                 : decompress_text(history_.newest().packed));
     }
     give_up_pending(now);
 }
@@ -666,7 +709,7 @@
         }
     }
     for (const auto& done : late_reads) {
-        done(nullptr);
+        done(std::nullopt);
     }
     for (const auto& done : late) {
         done(submit_outcome::unknown);
@@ -694,6 +737,7 @@
             if (at >= self->next_supervision_) {
                 self->next_supervision_ = at + supervision_interval;
                 self->supervisor_.tick(at, self->directory_);
+                self->save_servers(at);
             }
         });
         if (!self->is_stopped_) {
@@ -756,10 +800,10 @@
     implementation_->stop();
 }
 
-auto configuration_node::submit(configuration_document document,
+auto configuration_node::submit(std::uint64_t version, const std::string& text,
                                 submit_callback done) -> void
 {
-    implementation_->submit(std::move(document), std::move(done));
+    implementation_->submit(version, text, std::move(done));
 }
 
 auto configuration_node::read(read_callback done) -> void
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -14,6 +14,12 @@
 /// A member that sent nothing useful for this long is left for another one;
 /// two requests and their round trips.
 constexpr auto member_patience = milliseconds(1400);
+/// Time for a member to accept a link, with several round trips between
+/// regions.
+constexpr auto link_patience = milliseconds(300);
+/// A member of another region is left for one of the own region at most this
+/// often.
+constexpr auto return_interval = std::chrono::seconds(10);
 
 } // namespace
 
@@ -26,6 +32,7 @@
         : options_(std::move(options)),
           hooks_(std::move(hooks)),
           timer_(context),
+          link_timer_(context),
           links_(context, options_.link_key,
                  {{peer_role::proxy, options_.address},
                   incarnation(random_number())},
@@ -51,6 +58,7 @@
     {
         is_stopped_ = true;
         timer_.cancel();
+        link_timer_.cancel();
         links_.stop();
     }
 
@@ -114,15 +122,53 @@
             members_ = update->control_members;
         }
         hooks_.on_update(std::move(*update));
+        return_to_region();
+    }
+
+    /// Whether a member is known to be in the region of this process.
+    [[nodiscard]] auto is_near(const std::string& address) const -> bool
+    {
+        return std::any_of(members_.begin(), members_.end(),
+                           [&](const auto& member) {
+                               return member.address == address &&
+                                      member.region == options_.region;
+                           });
+    }
+
+    auto return_to_region() -> void
+    {
+        const auto now = steady_now();
+        const auto has_near = std::any_of(
+            members_.begin(), members_.end(), [&](const auto& member) {
+                return member.region == options_.region;
+            });
+        if (has_near && !is_near(followed_) && now >= next_return_) {
+            next_return_ = now + return_interval;
+            attempts_ = 0;
+            follow_next();
+        }
     }
 
     auto follow_next() -> void
     {
         auto candidates = options_.seeds();
-        candidates.insert(candidates.end(), members_.begin(), members_.end());
+        for (const auto& member : members_) {
+            candidates.push_back(member.address);
+        }
         std::sort(candidates.begin(), candidates.end());
         candidates.erase(std::unique(candidates.begin(), candidates.end()),
                          candidates.end());
+        // Processes begin with different members, which spreads their load.
+        const auto start = std::hash<std::string>()(options_.address);
+        if (!candidates.empty()) {
+            std::rotate(candidates.begin(),
+                        candidates.begin() + static_cast<std::ptrdiff_t>(
+                                                 start % candidates.size()),
+                        candidates.end());
+            std::stable_partition(
+                candidates.begin(), candidates.end(),
+                [&](const auto& address) { return is_near(address); });
+        }
         if (candidates.empty()) {
             return;
         }
@@ -130,15 +176,25 @@
             links_.forget({peer_role::control, followed_});
         }
         link_.reset();
-        // Processes begin with different members, which spreads their load.
-        const auto start = std::hash<std::string>()(options_.address);
-        followed_ = candidates[(start + attempts_++) % candidates.size()];
+        followed_ = candidates[attempts_++ % candidates.size()];
         followed_since_ = steady_now();
+        arm_link_timer();
         is_followed_current_ = false;
         links_.connect({peer_role::control, followed_},
                        {asio::ip::make_address(followed_), options_.peer_port});
     }
 
+    auto arm_link_timer() -> void
+    {
+        link_timer_.expires_after(link_patience);
+        link_timer_.async_wait([weak = weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (self && !error && !self->is_stopped_ && !self->link_) {
+                self->follow_next();
+            }
+        });
+    }
+
     auto arm_timer() -> void
     {
         timer_.expires_after(options_.interval);
@@ -158,13 +214,15 @@
     view_client_options options_;
     view_client_hooks hooks_;
     asio::steady_timer timer_;
+    asio::steady_timer link_timer_;
     peer_links links_;
-    std::vector<std::string> members_;
+    std::vector<control_member_record> members_;
     std::string followed_;
     std::optional<link_id> link_;
     time_point followed_since_;
     std::optional<time_point> current_at_;
     std::size_t attempts_ = 0;
+    time_point next_return_;
     bool is_followed_current_ = false;
     bool is_stopped_ = false;
 };
