transport: let a member join that knows only followers

Change: control processes tell each other the members and pass announcements to every control process they are linked to. Only groups of the configuration are supervised.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -85,7 +85,9 @@
     auto on_promotion(time_point now, const group_id& group,
                       promotion_outcome outcome) -> void;
 
-    /// Replicas that must hold a commit before it is acknowledged.
+    /// Supervises a group of the configuration; `count` replicas must hold a
+    /// commit before it is acknowledged. Announcements of other groups are
+    /// ignored.
     auto set_synchronous_replicas(const group_id& group, std::uint32_t count)
         -> void;
 
--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -32,11 +32,14 @@
     std::uint32_t proxies = 0;
     /// Region of the sender.
     std::string region;
+    /// Names of the group's members as the sender knows them, for a member
+    /// that is not part of the group yet and may know only a follower.
+    std::vector<std::string> members;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(proxies, region);
+        archive(proxies, region, members);
     }
 };
 
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -116,9 +116,6 @@
     if (!is_leading_ || now - leading_since_ < listening_time) {
         return;
     }
-    for (const auto& [id, known] : directory.entries()) {
-        groups_.try_emplace(known.record.group);
-    }
     for (auto& [id, group] : groups_) {
         if (now < group.not_before) {
             continue;
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -182,6 +182,8 @@
         -> void;
     auto on_report(const sighting_report& report) -> void;
     auto share(const server_record& record) -> void;
+    /// Sends to every control process, members of the group or not.
+    auto send_to_control(message_type type, const std::string& payload) -> void;
     auto send_census() -> void;
     auto save_servers(time_point now) -> void;
     auto tell_configuration() -> void;
@@ -284,6 +286,11 @@
     const auto members = member_names();
     auto wanted = std::set<std::string>(seeds.begin(), seeds.end());
     wanted.insert(members.begin(), members.end());
+    if (members.empty()) {
+        for (const auto& [name, told] : census_) {
+            wanted.insert(told.first.members.begin(), told.first.members.end());
+        }
+    }
     wanted.erase(options_.address);
     auto contacts = std::vector<member_id>();
     const auto is_member = std::find(members.begin(), members.end(),
@@ -320,6 +327,7 @@
     if (!known.records.empty()) {
         links_.send(link.id, message_type::server_announcements, encode(known));
     }
+    send_census();
 }
 
 auto configuration_node::implementation::on_message(const link_info& link,
@@ -359,6 +367,9 @@
         case message_type::proxy_census:
             if (const auto message = decode<proxy_census>(payload)) {
                 census_[link.peer.who.name] = {*message, steady_now()};
+                if (member_names().empty()) {
+                    look_for_members();
+                }
             }
             break;
         default:
@@ -432,14 +443,10 @@
 
 auto configuration_node::implementation::send_census() -> void
 {
-    const auto bytes = encode(proxy_census{
-        static_cast<std::uint32_t>(proxies_.size()), options_.region});
-    for (const auto& name : member_names()) {
-        if (name != options_.address) {
-            links_.send({peer_role::control, name}, message_type::proxy_census,
-                        bytes);
-        }
-    }
+    send_to_control(
+        message_type::proxy_census,
+        encode(proxy_census{static_cast<std::uint32_t>(proxies_.size()),
+                            options_.region, member_names()}));
 }
 
 auto configuration_node::implementation::proxy_count() const -> std::uint32_t
@@ -491,13 +498,22 @@
 auto configuration_node::implementation::share(const server_record& record)
     -> void
 {
-    const auto bytes = encode(server_announcements{{record}});
-    for (const auto& name : member_names()) {
-        if (name != options_.address) {
-            links_.send({peer_role::control, name},
-                        message_type::server_announcements, bytes);
+    send_to_control(message_type::server_announcements,
+                    encode(server_announcements{{record}}));
+}
+
+auto configuration_node::implementation::send_to_control(
+    message_type type, const std::string& payload) -> void
+{
+    auto names = std::set<std::string>();
+    for (const auto& link : links_.links()) {
+        if (link.peer.who.role == peer_role::control) {
+            names.insert(link.peer.who.name);
         }
     }
+    for (const auto& name : names) {
+        links_.send({peer_role::control, name}, type, payload);
+    }
 }
 
 auto configuration_node::implementation::withdraw(const target_id& server)
--- /dev/null
+++ b/tests/transport/configuration_node_test.cpp
@@ -0,0 +1,197 @@
+#include <rhubarbrun/transport/configuration_node.hpp>
+#include <rhubarbrun/transport/json.hpp>
+#include <rhubarbrun/transport/view_client.hpp>
+#include <rhubarbrun/transport/worker_pool.hpp>
+
+#include "loopback.hpp"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun::test {
+
+namespace {
+
+auto link_key() -> secret_key
+{
+    return secret_key::from_material(std::string(32, 'k'));
+}
+
+/// Control members on addresses of the loopback network, on one thread.
+class loopback_group
+{
+public:
+    loopback_group()
+        : port_(free_port()),
+          directory_(std::filesystem::temp_directory_path() /
+                     ("rhubarbrun_group_" + std::to_string(port_)))
+    {
+        std::filesystem::remove_all(directory_);
+    }
+    loopback_group(const loopback_group&) = delete;
+    auto operator=(const loopback_group&) -> loopback_group& = delete;
+    ~loopback_group()
+    {
+        nodes_.clear();
+        std::filesystem::remove_all(directory_);
+    }
+
+    auto start(const std::string& address, std::vector<std::string> seeds,
+               bool is_founding) -> configuration_node&
+    {
+        auto hooks = configuration_node_hooks{};
+        hooks.on_configuration = [](std::uint64_t, const std::string&) {
+        };
+        hooks.on_failure = [](const std::string& reason) {
+            FAIL(reason);
+        };
+        hooks.supervisor.ask_status = [](const server_record&) {
+        };
+        hooks.supervisor.step_down = [](const server_record&, term) {
+        };
+        hooks.supervisor.promote = [](const group_id&, const target_id&) {
+        };
+        hooks.supervisor.log = [](std::string_view, const group_id&,
+                                  const target_id&, const std::string&) {
+        };
+        auto options = configuration_node_options{address,
+                                                  "region",
+                                                  port_,
+                                                  directory_ / address,
+                                                  is_founding,
+                                                  1,
+                                                  [seeds] { return seeds; },
+                                                  link_key(),
+                                                  {},
+                                                  {}};
+        nodes_.push_back(std::make_unique<configuration_node>(
+            context, std::move(options), std::move(hooks)));
+        nodes_.back()->start();
+        return *nodes_.back();
+    }
+
+    /// Runs until the condition holds; false if it does not within 20 s.
+    template <class Condition>
+    auto run_until(Condition condition) -> bool
+    {
+        const auto end = steady_now() + std::chrono::seconds(20);
+        while (!condition() && steady_now() < end) {
+            context.run_for(std::chrono::milliseconds(10));
+        }
+        return condition();
+    }
+
+    /// Number of voters as the node knows them.
+    static auto voters(const configuration_node& node) -> std::size_t
+    {
+        auto count = std::size_t{0};
+        const auto dump = parse_json(node.dump());
+        for (const auto& member : (*dump)["members"].elements()) {
+            count += member["voter"].truth() ? 1 : 0;
+        }
+        return count;
+    }
+
+    [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+
+    asio::io_context context{1};
+
+private:
+    static auto free_port() -> std::uint16_t
+    {
+        auto context = asio::io_context();
+        auto acceptor = asio::ip::tcp::acceptor(
+            context, {asio::ip::make_address("127.0.0.1"), 0});
+        return acceptor.local_endpoint().port();
+    }
+
+    std::uint16_t port_;
+    std::filesystem::path directory_;
+    std::vector<std::unique_ptr<configuration_node>> nodes_;
+};
+
+const auto founders =
+    std::vector<std::string>{"127.0.0.1", "127.0.0.2", "127.0.0.3"};
+
+} // namespace
+
+TEST_CASE("configuration node: a new member joins although its only seed is a "
+          "follower")
+{
+    auto group = loopback_group();
+    auto members = std::vector<configuration_node*>();
+    for (const auto& address : founders) {
+        members.push_back(&group.start(address, founders, true));
+    }
+    REQUIRE(group.run_until([&] {
+        return std::any_of(members.begin(), members.end(),
+                           [](auto* each) { return each->is_leader(); });
+    }));
+    const auto follower =
+        std::find_if(members.begin(), members.end(),
+                     [](auto* each) { return !each->is_leader(); }) -
+        members.begin();
+    auto& joined = group.start(
+        "127.0.0.4", {founders.at(static_cast<std::size_t>(follower))}, false);
+    CHECK(group.run_until([&] { return loopback_group::voters(joined) == 4; }));
+}
+
+TEST_CASE("configuration node: a configuration reaches a proxy, is read back "
+          "and stays the newest")
+{
+    auto group = loopback_group();
+    auto members = std::vector<configuration_node*>();
+    for (const auto& address : founders) {
+        members.push_back(&group.start(address, founders, true));
+    }
+    auto update = view_update{};
+    auto proxy = view_client(group.context,
+                             {"127.0.0.9",
+                              "region",
+                              group.port(),
+                              [] { return founders; },
+                              link_key(),
+                              {}},
+                             {[&](view_update received) {
+                                  if (received.configuration_version >=
+                                      update.configuration_version) {
+                                      update = std::move(received);
+                                  }
+                              },
+                              [] { return std::vector<sighting_record>(); },
+                              [] {
+                                  return std::uint64_t{0};
+                              }});
+    proxy.start();
+    configuration_node* leader = nullptr;
+    REQUIRE(group.run_until([&] {
+        for (auto* each : members) {
+            leader = each->fencing_token() ? each : leader;
+        }
+        return leader != nullptr;
+    }));
+    auto outcomes = std::vector<submit_outcome>();
+    const auto submit = [&](std::uint64_t version, const std::string& text) {
+        leader->submit(version, text, [&](submit_outcome outcome) {
+            outcomes.push_back(outcome);
+        });
+    };
+    submit(7, "seven");
+    submit(7, "other content");
+    submit(5, "older");
+    REQUIRE(group.run_until([&] { return outcomes.size() == 3; }));
+    CHECK(outcomes == std::vector<submit_outcome>(3, submit_outcome::accepted));
+    CHECK(group.run_until([&] { return update.configuration_version == 7; }));
+    auto newest = std::optional<std::string>();
+    leader->read(
+        [&](const std::optional<std::string>& text) { newest = text; });
+    CHECK(group.run_until([&] { return newest.has_value(); }));
+    CHECK(*newest == "seven");
+    proxy.stop();
+}
+
+} // namespace rhubarbrun::test
