--- /dev/null
+++ b/tests/coordination/primary_supervisor_test.cpp
@@ -0,0 +1,220 @@
+#include <rhubarbrun/coordination/primary_supervisor.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun_tests {
+
+using namespace rhubarbrun;
+
+namespace {
+
+/// A supervisor that leads, over one group of a primary "p" and two replicas.
+class supervised_servers
+{
+public:
+    supervised_servers() : supervisor(make_hooks())
+    {
+        supervisor.set_synchronous_replicas(group_id("g"), 0);
+        supervisor.start_leading(now);
+        announce("p", server_role::primary);
+        announce("r1", server_role::replica);
+        announce("r2", server_role::replica);
+    }
+
+    auto announce(const std::string& name, server_role role,
+                  server_availability state = server_availability::ready)
+        -> void
+    {
+        auto record = server_record{};
+        record.id = target_id(name);
+        record.group = group_id("g");
+        record.address = name;
+        record.role = role;
+        record.state = state;
+        record.sequence = ++sequence_;
+        directory.merge(now, record);
+    }
+
+    /// Lets time pass; the servers in `alive` announce themselves.
+    auto pass(duration length, const std::vector<std::string>& alive = {})
+        -> void
+    {
+        for (const auto end = now + length; now < end;) {
+            now += milliseconds(50);
+            for (const auto& name : alive) {
+                announce(name, name == "p" ? server_role::primary
+                                           : server_role::replica);
+            }
+            supervisor.tick(now, directory);
+        }
+    }
+
+    auto tell(const std::string& server, std::uint64_t received,
+              server_role role = server_role::replica) -> void
+    {
+        auto status = server_log_status{};
+        status.role = role;
+        status.newest = term(1);
+        status.received = {term(1), log_offset(received)};
+        supervisor.on_status(now, target_id(server), status);
+    }
+
+    auto sight(const std::string& proxy, bool is_answering) -> void
+    {
+        auto sighting = server_sighting{};
+        sighting.server = target_id("p");
+        if (is_answering) {
+            sighting.answered_ago = milliseconds(100);
+        } else {
+            sighting.failing_for = milliseconds(600);
+        }
+        supervisor.on_sightings(now, proxy, {sighting});
+    }
+
+    time_point now = time_point(std::chrono::seconds(100));
+    server_directory directory;
+    std::vector<std::string> asked;
+    std::vector<std::string> stepped_down;
+    std::vector<std::string> promoted;
+    primary_supervisor supervisor;
+
+private:
+    auto make_hooks() -> primary_supervisor_hooks
+    {
+        auto hooks = primary_supervisor_hooks{};
+        hooks.ask_status = [this](const server_record& server) {
+            asked.push_back(server.id.value());
+        };
+        hooks.step_down = [this](const server_record& server, term) {
+            stepped_down.push_back(server.id.value());
+        };
+        hooks.promote = [this](const group_id&, const target_id& server) {
+            promoted.push_back(server.value());
+        };
+        hooks.log = [](std::string_view, const group_id&, const target_id&,
+                       const std::string&) {
+        };
+        return hooks;
+    }
+
+    std::uint64_t sequence_ = 0;
+};
+
+const auto all = std::vector<std::string>{"p", "r1", "r2"};
+const auto replicas = std::vector<std::string>{"r1", "r2"};
+
+} // namespace
+
+TEST_CASE("primary supervisor: a calm primary is left alone")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(20), all);
+    CHECK(servers.asked.empty());
+}
+
+TEST_CASE("primary supervisor: a silent primary is replaced by the replica "
+          "that received most")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(2), all);
+    servers.pass(std::chrono::seconds(4), replicas);
+    REQUIRE(servers.asked.size() >= 3);
+    servers.pass(milliseconds(650), replicas);
+    servers.asked.clear();
+    servers.promoted.clear();
+    servers.pass(std::chrono::seconds(1), replicas);
+    servers.tell("r1", 10);
+    servers.tell("r2", 20);
+    servers.pass(std::chrono::seconds(1), replicas);
+    CHECK(servers.promoted == std::vector<std::string>{"r2"});
+}
+
+TEST_CASE("primary supervisor: a primary that proxies reach stays, even if its "
+          "announcements are lost")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(2), all);
+    for (auto round = 0; round < 20; ++round) {
+        servers.sight("a", true);
+        servers.sight("b", false);
+        servers.pass(milliseconds(400), replicas);
+    }
+    CHECK(servers.asked.empty());
+}
+
+TEST_CASE("primary supervisor: a primary that says so itself is alive")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(2), all);
+    for (auto round = 0; round < 5; ++round) {
+        servers.sight("a", false);
+        servers.pass(milliseconds(200), all);
+        servers.tell("r1", 10);
+        servers.tell("r2", 10);
+        servers.tell("p", 10, server_role::primary);
+    }
+    CHECK(!servers.asked.empty());
+    CHECK(servers.promoted.empty());
+}
+
+TEST_CASE("primary supervisor: a leaving primary hands over all it has")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(2), all);
+    servers.announce("p", server_role::primary, server_availability::draining);
+    servers.pass(milliseconds(100));
+    REQUIRE(servers.asked.size() == 3);
+    servers.tell("p", 30, server_role::primary);
+    servers.tell("r1", 10);
+    servers.tell("r2", 20);
+    servers.pass(milliseconds(100));
+    CHECK(servers.stepped_down == std::vector<std::string>{"p"});
+    CHECK(servers.promoted.empty());
+    servers.tell("p", 31, server_role::replica);
+    servers.pass(milliseconds(100));
+    CHECK(servers.promoted.empty());
+    servers.tell("r2", 31);
+    servers.pass(milliseconds(100));
+    CHECK(servers.promoted == std::vector<std::string>{"r2"});
+}
+
+TEST_CASE("primary supervisor: with synchronous replicas, a silent one may be "
+          "the only holder of a commit")
+{
+    auto servers = supervised_servers();
+    servers.supervisor.set_synchronous_replicas(group_id("g"), 1);
+    servers.pass(std::chrono::seconds(2), all);
+    for (auto round = 0; round < 6; ++round) {
+        servers.pass(std::chrono::seconds(1), replicas);
+        servers.tell("r1", 10);
+    }
+    CHECK(servers.promoted.empty());
+}
+
+TEST_CASE("primary supervisor: announcements of unknown groups are ignored")
+{
+    auto servers = supervised_servers();
+    auto foreign = server_record{};
+    foreign.id = target_id("x");
+    foreign.group = group_id("foreign");
+    foreign.address = "x";
+    foreign.sequence = 1;
+    servers.directory.merge(servers.now, foreign);
+    servers.pass(std::chrono::seconds(8), all);
+    CHECK(servers.asked.empty());
+}
+
+TEST_CASE("primary supervisor: a member that does not lead orders nothing")
+{
+    auto servers = supervised_servers();
+    servers.supervisor.stop_leading();
+    servers.pass(std::chrono::seconds(10));
+    CHECK(servers.asked.empty());
+    CHECK(servers.promoted.empty());
+}
+
+} // namespace rhubarbrun_tests
