coordination: leave lagging replicas out, close idle connections sooner

Change: a replica that lacks old commits gets no reads for 200 to 800 ms; idle connections beyond one are closed after 2 s; another server's idle connection is used before a new one is waited for.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
@@ -36,7 +37,7 @@
     /// processes may need them, as a multiple of its share.
     std::size_t burst_factor = 3;
     /// Idle connections beyond the first are closed after this long.
-    duration idle_limit = std::chrono::seconds(20);
+    duration idle_limit = std::chrono::seconds(2);
     /// Idle connections beyond this process's share of the server's limit are
     /// closed after this long, for others to use.
     duration surplus_idle_limit = std::chrono::milliseconds(400);
@@ -142,6 +143,8 @@
         time_point sampled_at;
         time_point avoid_until;
         time_point lagging_until;
+        /// Refusals for lag in a row.
+        std::size_t lagging_refusals = 0;
         time_point full_until;
         time_point no_connections_until;
         /// Up to then the server is too busy for more than the share.
@@ -158,6 +161,9 @@
         time_point used_at;
     };
 
+    /// Servers with their scores, lowest first.
+    using ranking = std::vector<std::pair<double, server*>>;
+
     [[nodiscard]] auto may_use(time_point now, const server& each,
                                const demand& need) const -> bool;
     [[nodiscard]] auto score(time_point now, const server& each,
@@ -167,6 +173,9 @@
     [[nodiscard]] auto may_open(time_point now, const server& each,
                                 const demand& need) const -> bool;
     auto open(time_point now, server& each) -> void;
+    /// Drops servers that lag, unless all do.
+    static auto leave_out_lagging(time_point now, ranking& ranked) -> void;
+    [[nodiscard]] auto take_idle(time_point now, server& each) -> connection_id;
     auto close_idle(time_point now, server& each, std::size_t kept,
                     duration older_than) -> void;
     [[nodiscard]] auto is_primary(const server& each) const -> bool;
@@ -179,6 +188,7 @@
     std::map<connection_id, connection> connections_;
     std::map<group_id, std::uint32_t> limits_;
     std::uint32_t sharers_;
+    bool is_sharers_told_ = false;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_claim_ = 0;
 };
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -172,6 +172,8 @@
         std::optional<connection_id> connection;
         bool is_read = false;
         bool is_sent = false;
+        /// The required position is the session's own last commit.
+        bool is_own_commit_required = false;
     };
     struct session
     {
@@ -243,7 +245,7 @@
     auto stop_waiting(const session& caller) -> void;
     auto serve_waiting(time_point now, const group_id& group) -> void;
     [[nodiscard]] auto needs_primary(const session& caller) const -> bool;
-    [[nodiscard]] auto required_position(time_point now, const session& caller)
+    [[nodiscard]] auto required_position(time_point now, session& caller)
         -> std::optional<log_position>;
     auto want_probe(time_point now, const group_id& group) -> void;
     auto send_probe(time_point now, const group_id& group) -> void;
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -12,14 +12,19 @@
 constexpr auto last_backoff = milliseconds(1200);
 /// Pause after a server refused a connection because it has too many.
 constexpr auto connection_limit_pause = milliseconds(300);
-/// Time for a replica to receive and replay what it lacked.
-constexpr auto lagging_pause = milliseconds(250);
+/// First and longest time for which a replica that lacks commits of the
+/// staleness limit gets no reads; such a lag lasts for seconds.
+constexpr auto first_lagging_pause = milliseconds(200);
+constexpr auto last_lagging_pause = milliseconds(800);
 /// Time in which a full server works off part of its queue.
 constexpr auto full_pause = milliseconds(40);
 /// Round trips and work of a statement, by distance, before there are samples.
 constexpr auto same_zone_latency_us = 15'000.0;
 constexpr auto same_region_latency_us = 17'000.0;
 constexpr auto other_region_latency_us = 50'000.0;
+/// Opening a connection takes a round trip, the server's set-up time and a
+/// slot of it.
+constexpr auto connect_latency_us = 30'000.0;
 /// Weight of a new latency sample.
 constexpr auto sample_weight = 0.2;
 /// A sample counts for nothing after this long, so that a server that was slow
@@ -163,8 +168,7 @@
     if (!is_primary_needed && is_primary(each)) {
         result *= primary_read_penalty;
     }
-    if (now < each.full_until ||
-        (!is_primary_needed && now < each.lagging_until)) {
+    if (now < each.full_until) {
         result += other_region_latency_us * 2;
     }
     return result;
@@ -173,6 +177,7 @@
 auto server_pool::set_sharers(std::uint32_t count) -> void
 {
     sharers_ = std::max(count, 1U);
+    is_sharers_told_ = true;
 }
 
 auto server_pool::share_of(const server& each) const -> std::size_t
@@ -189,45 +194,76 @@
     const auto share = share_of(each);
     const auto limit =
         now < each.burst_not_before ? share : share * options_.burst_factor;
-    return each.open < limit && each.connecting < need.waiting &&
-           now >= each.no_connections_until;
+    return each.open < (is_sharers_told_ ? limit : share) &&
+           each.connecting < need.waiting && now >= each.no_connections_until;
 }
 
 auto server_pool::choose(time_point now, const demand& need)
     -> std::optional<connection_id>
 {
-    auto ranked = std::vector<std::pair<double, server*>>();
+    auto ranked = ranking();
     for (auto& [id, each] : servers_) {
         if (may_use(now, each, need)) {
             ranked.emplace_back(score(now, each, need.is_primary_needed),
                                 &each);
         }
     }
+    if (!need.is_primary_needed) {
+        leave_out_lagging(now, ranked);
+    }
     std::sort(ranked.begin(), ranked.end(),
               [](const auto& left, const auto& right) {
                   return left.first < right.first;
               });
-    for (const auto& [value, each] : ranked) {
-        if (!each->idle.empty()) {
-            const auto id = each->idle.back();
-            each->idle.pop_back();
-            auto& used = connections_.at(id);
-            used.is_idle = false;
-            used.used_at = now;
-            ++each->busy;
-            return id;
+    const auto idle =
+        std::find_if(ranked.begin(), ranked.end(), [](const auto& each) {
+            return !each.second->idle.empty();
+        });
+    for (auto each = ranked.begin(); each != ranked.end(); ++each) {
+        const auto is_close_enough =
+            idle != ranked.end() &&
+            idle->first - each->first <= connect_latency_us;
+        if (is_close_enough) {
+            if (each != idle && each->second->connecting == 0 &&
+                may_open(now, *each->second, need))
+            {
+                // The better server takes the statements that follow.
+                open(now, *each->second);
+            }
+            return take_idle(now, *idle->second);
         }
-        if (may_open(now, *each, need)) {
-            open(now, *each);
+        if (may_open(now, *each->second, need)) {
+            open(now, *each->second);
             return std::nullopt;
         }
-        if (each->connecting > 0) {
+        if (each->second->connecting > 0) {
             return std::nullopt;
         }
     }
     return std::nullopt;
 }
 
+auto server_pool::leave_out_lagging(time_point now, ranking& ranked) -> void
+{
+    const auto first_lagging = std::stable_partition(
+        ranked.begin(), ranked.end(),
+        [&](const auto& each) { return now >= each.second->lagging_until; });
+    if (first_lagging != ranked.begin()) {
+        ranked.erase(first_lagging, ranked.end());
+    }
+}
+
+auto server_pool::take_idle(time_point now, server& each) -> connection_id
+{
+    const auto id = each.idle.back();
+    each.idle.pop_back();
+    auto& used = connections_.at(id);
+    used.is_idle = false;
+    used.used_at = now;
+    ++each.busy;
+    return id;
+}
+
 auto server_pool::open(time_point now, server& each) -> void
 {
     const auto id = connection_id(++last_connection_);
@@ -300,6 +336,7 @@
     each.answered_at = now;
     each.failing_since.reset();
     each.failures = 0;
+    each.lagging_refusals = 0;
 }
 
 auto server_pool::on_silence(time_point now, connection_id id) -> void
@@ -336,7 +373,14 @@
 auto server_pool::on_lagging(time_point now, const target_id& id) -> void
 {
     if (const auto found = servers_.find(id); found != servers_.end()) {
-        found->second.lagging_until = now + lagging_pause;
+        auto& each = found->second;
+        each.lagging_until =
+            now + std::min<duration>(
+                      first_lagging_pause *
+                          (std::int64_t{1}
+                           << std::min<std::size_t>(each.lagging_refusals, 4)),
+                      last_lagging_pause);
+        ++each.lagging_refusals;
     }
 }
 
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -76,10 +76,10 @@
     return caller.open ? !caller.open->is_read_only : !current.is_read;
 }
 
-auto session_relay::required_position(time_point now, const session& caller)
+auto session_relay::required_position(time_point now, session& caller)
     -> std::optional<log_position>
 {
-    const auto& current = *caller.current;
+    auto& current = *caller.current;
     const auto& route = *current.route.route;
     const auto& observed = observations_[route.group];
     const auto latest = observed.latest();
@@ -91,7 +91,9 @@
     if (position && caller.floor &&
         route.consistency == read_consistency::read_your_writes)
     {
-        position = std::max(*position, observed.translate(*caller.floor));
+        const auto own = observed.translate(*caller.floor);
+        current.is_own_commit_required = own > *position;
+        position = std::max(*position, own);
     }
     return position;
 }
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -175,7 +175,11 @@
                                connection_id id, relay_error error) -> void
 {
     const auto server = pool_.server_of(id);
-    note_refusal(now, id, error);
+    // A replica that lacks only the session's latest commit serves others.
+    if (error != relay_error::lagging ||
+        !caller.current->is_own_commit_required) {
+        note_refusal(now, id, error);
+    }
     if (caller.open) {
         caller.open->connection.reset();
     }
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -266,4 +266,65 @@
     CHECK(harness.opened == 4);
 }
 
+// Pattern: replicas that lag by more than the staleness limit attract reads
+// that they must refuse, and each costs a round trip.
+TEST_CASE("session relay: a replica that lacks old commits gets no reads for a "
+          "while")
+{
+    auto harness = relay_harness();
+    const auto writer = harness.start("sheets");
+    harness.ask(writer, relay_step::write, "item data");
+    harness.answer(relay_error::none, 50);
+    const auto caller = harness.start("stock");
+    auto refusals = 0;
+    for (auto round = 0; round < 10; ++round) {
+        harness.ask(caller, relay_step::read, "item");
+        while (!harness.sent.empty()) {
+            const auto is_replica =
+                harness.server_of(harness.sent.front()) != "p" &&
+                harness.sent.front().statement.step == relay_step::read;
+            refusals += is_replica ? 1 : 0;
+            harness.answer(
+                is_replica ? relay_error::lagging : relay_error::none, 50);
+        }
+        CHECK(harness.last_reply(caller).is_success());
+        harness.pass(milliseconds(10));
+    }
+    CHECK(refusals == 2);
+}
+
+TEST_CASE("session relay: a replica that lacks only a session's own commit "
+          "goes on serving others")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("sheets");
+    const auto other = harness.start("stock");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer(relay_error::none, 50);
+    harness.pass(milliseconds(100));
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer(relay_error::none, 60);
+    harness.ask(caller, relay_step::read, "item");
+    harness.answer_all(60);
+    harness.ask(caller, relay_step::read, "item");
+    REQUIRE(harness.server_of(harness.sent.front()) != "p");
+    harness.answer(relay_error::lagging, 50);
+    harness.answer_all(60);
+    harness.ask(other, relay_step::read, "item");
+    CHECK(harness.server_of(harness.sent.front()) != "p");
+}
+
+// Pattern: after a loss of power all processes connect at once, before they
+// know how many they are.
+TEST_CASE("session relay: no more than a share is opened before the number of "
+          "processes is known")
+{
+    auto harness = relay_harness();
+    for (auto count = 0; count < 12; ++count) {
+        harness.ask(harness.start("orders"), relay_step::write, "item data");
+    }
+    harness.pass(milliseconds(50));
+    CHECK(harness.opened == 5); // 90 connections, 16 processes assumed
+}
+
 } // namespace rhubarbrun_tests
