coordination: refuse at once in a long outage, and say when to come back

Cause: requests for a group that had been down for seconds waited for their whole time; refusals did not say when to come back. Change: after 3.5 s without any usable server a request is refused on arrival; refusals name a time. The platform program logs to standard output and serves latency histograms.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -97,6 +97,11 @@
     [[nodiscard]] auto is_served(time_point now, const demand& need) const
         -> bool;
 
+    /// Since when every server that could take the statement fails; no value if
+    /// one does not, or none is known.
+    [[nodiscard]] auto outage_since(const demand& need) const
+        -> std::optional<time_point>;
+
     auto on_connected(time_point now, connection_id id) -> void;
     auto on_connect_failed(time_point now, connection_id id,
                            connect_failure reason) -> void;
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -49,6 +49,8 @@
     server_pool::open_function open;
     server_pool::close_function close;
     std::function<void(const relay_decision&)> log;
+    /// A statement was served, this long after it arrived.
+    std::function<void(read_consistency, duration)> on_served = {};
 };
 
 /// Numbers of a `session_relay` since its start.
@@ -242,6 +244,17 @@
     // session_relay_dispatch.cpp: choice of servers and connections.
     auto assign(time_point now, session& caller) -> bool;
     auto wait(session& caller) -> void;
+    [[nodiscard]] auto demand_of(const session& caller) const
+        -> server_pool::demand;
+    /// Refuses a request whose group has been down for longer than a change of
+    /// primary takes; returns whether it did.
+    auto refuse_in_outage(time_point now, session& caller) -> bool;
+    /// The error of a request that did not run, with the time after which to
+    /// come back.
+    [[nodiscard]] auto not_run_reply(time_point now,
+                                     const session& caller) const
+        -> relay_reply;
+    auto refuse(time_point now, session& caller) -> void;
     auto stop_waiting(const session& caller) -> void;
     auto serve_waiting(time_point now, const group_id& group) -> void;
     [[nodiscard]] auto needs_primary(const session& caller) const -> bool;
--- a/include/rhubarbrun/state/service_configuration.hpp
+++ b/include/rhubarbrun/state/service_configuration.hpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <stdexcept>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace rhubarbrun::inline v1 {
 
@@ -26,6 +26,21 @@
     read_your_writes,
 };
 
+/// Name of a consistency for logs and metrics.
+[[nodiscard]] constexpr auto to_string(read_consistency value) noexcept
+    -> std::string_view
+{
+    switch (value) {
+    case read_consistency::primary:
+        return "primary";
+    case read_consistency::bounded_staleness:
+        return "bounded_staleness";
+    case read_consistency::read_your_writes:
+        return "read_your_writes";
+    }
+    return "unknown";
+}
+
 /// How the requests of one database are served.
 struct database_route
 {
--- a/include/rhubarbrun/transport/event_log.hpp
+++ b/include/rhubarbrun/transport/event_log.hpp
@@ -16,8 +16,17 @@
     error,
 };
 
-/// Sends glog's output to standard error; call once, first in `main`.
-auto start_event_log(const char* program) -> void;
+/// Where the event log goes.
+enum class event_log_output : std::uint8_t
+{
+    standard_error,
+    standard_output,
+};
+
+/// Sends glog's output there; call once, first in `main`.
+auto start_event_log(const char* program,
+                     event_log_output output = event_log_output::standard_error)
+    -> void;
 
 /// One log line `event=<name> key=value ...`, written when it goes out of
 /// scope. Values with spaces, quotes or control characters are quoted and
--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -107,7 +107,7 @@
         std::cerr << usage;
         return exit_usage;
     }
-    start_event_log(arguments[0]);
+    start_event_log(arguments[0], event_log_output::standard_output);
     try {
         return run(role);
     } catch (const node_settings_error& fault) {
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -139,6 +139,27 @@
     });
 }
 
+auto server_pool::outage_since(const demand& need) const
+    -> std::optional<time_point>
+{
+    auto since = std::optional<time_point>();
+    for (const auto& [id, each] : servers_) {
+        const auto is_candidate =
+            each.record.group == need.group &&
+            each.record.state != server_availability::gone &&
+            (!need.is_primary_needed || is_primary(each));
+        if (!is_candidate) {
+            continue;
+        }
+        if (!each.failing_since) {
+            return std::nullopt;
+        }
+        since =
+            std::max(since.value_or(*each.failing_since), *each.failing_since);
+    }
+    return since;
+}
+
 auto server_pool::base_latency(const server& each) const -> double
 {
     if (each.record.zone == options_.zone) {
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -268,6 +268,10 @@
 {
     stop_waiting(caller);
     expiries_.erase({caller.current->expires, caller.id});
+    if (reply.is_success() && hooks_.on_served) {
+        hooks_.on_served(caller.current->route.route->consistency,
+                         now - caller.current->arrived);
+    }
     if (!reply.is_success()) {
         const auto server = caller.current->connection
                                 ? pool_.server_of(*caller.current->connection)
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -12,6 +12,12 @@
 constexpr auto refresh_divisor = 2;
 /// A probe without an answer is repeated after this long.
 constexpr auto probe_patience = milliseconds(400);
+/// A primary is noticed to be lost, replaced and announced within this time.
+constexpr auto outage_patience = milliseconds(3500);
+/// After this time a full server has worked off its queue, and a group without
+/// a primary may have another one.
+constexpr auto return_to_full_server = milliseconds(200);
+constexpr auto return_after_outage = milliseconds(1000);
 
 /// Name of a prepared statement at a server, where all sessions share those of
 /// the same shape.
@@ -139,9 +145,10 @@
         send_current(now, caller, *caller.open->connection, std::nullopt);
         return true;
     }
-    auto need = server_pool::demand{};
-    need.group = current.route.route->group;
-    need.is_primary_needed = needs_primary(caller);
+    if (refuse_in_outage(now, caller)) {
+        return true;
+    }
+    auto need = demand_of(caller);
     need.excluded = &current.excluded;
     need.waiting = std::max<std::size_t>(1, waiting_[need.group].size());
     auto floor = std::optional<log_position>();
@@ -159,6 +166,52 @@
     return true;
 }
 
+auto session_relay::demand_of(const session& caller) const
+    -> server_pool::demand
+{
+    auto need = server_pool::demand{};
+    need.group = caller.current->route.route->group;
+    need.is_primary_needed = needs_primary(caller);
+    return need;
+}
+
+auto session_relay::refuse_in_outage(time_point now, session& caller) -> bool
+{
+    const auto since = pool_.outage_since(demand_of(caller));
+    if (!since || now - *since < outage_patience) {
+        return false;
+    }
+    refuse(now, caller);
+    return true;
+}
+
+auto session_relay::not_run_reply(time_point now, const session& caller) const
+    -> relay_reply
+{
+    const auto need = demand_of(caller);
+    const auto is_outage =
+        pool_.outage_since(need).has_value() || !pool_.is_served(now, need);
+    const auto pause = is_outage ? return_after_outage : return_to_full_server;
+    auto reply = relay_reply{};
+    reply.error = relay_error::retry;
+    reply.detail = "did not run; retry after " +
+                   std::to_string(to_milliseconds(pause)) + " ms";
+    return reply;
+}
+
+auto session_relay::refuse(time_point now, session& caller) -> void
+{
+    auto reply = not_run_reply(now, caller);
+    const auto is_commit = caller.current->statement.step == relay_step::commit;
+    if (caller.open) {
+        fail_transaction(caller);
+        if (is_commit) {
+            caller.open.reset();
+        }
+    }
+    finish(now, caller, std::move(reply));
+}
+
 auto session_relay::dispatch(time_point now, session& caller, connection_id id,
                              const std::optional<log_position>& floor) -> void
 {
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -196,14 +196,7 @@
     auto& current = *caller.current;
     current.is_sent = false;
     if (current.attempts >= attempts_limit || now >= current.expires) {
-        if (caller.open) {
-            fail_transaction(caller);
-            if (current.statement.step == relay_step::commit) {
-                caller.open.reset();
-            }
-        }
-        finish(now, caller,
-               error_reply(relay_error::retry, "no server took it"));
+        refuse(now, caller);
         return;
     }
     ++counters_.sent_elsewhere;
@@ -441,7 +434,12 @@
         pool_.on_silence(now, *current.connection);
     }
     detach(now, caller);
-    auto error = is_sent ? relay_error::timeout : relay_error::retry;
+    const auto is_begun = caller.open && caller.open->is_begun;
+    if (!is_sent && !is_begun) {
+        refuse(now, caller);
+        return;
+    }
+    auto error = relay_error::timeout;
     if (caller.open) {
         if (!is_sent || (is_commit && !is_kept)) {
             error = relay_error::aborted;
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <iomanip>
 
 namespace rhubarbrun::inline v1 {
@@ -39,9 +40,15 @@
 
 } // namespace
 
-auto start_event_log(const char* program) -> void
+auto start_event_log(const char* program, event_log_output output) -> void
 {
-    FLAGS_logtostderr = true;
+    if (output == event_log_output::standard_output) {
+        // Otherwise a killed process takes its last lines with it.
+        std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+        FLAGS_logtostdout = true;
+    } else {
+        FLAGS_logtostderr = true;
+    }
     google::InitGoogleLogging(program);
 }
 
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -327,4 +327,27 @@
     CHECK(harness.opened == 5); // 90 connections, 16 processes assumed
 }
 
+// Pattern: callers wait in vain for a server that has been down for long.
+TEST_CASE("session relay: in a long outage requests are refused at once, with "
+          "a time to come back")
+{
+    auto harness = relay_harness();
+    harness.refusals["p"] = connect_failure::refused;
+    const auto early = harness.start("orders");
+    harness.ask(early, relay_step::write, "item data");
+    CHECK(harness.replies[early].empty());
+    for (auto round = 0; round < 5; ++round) {
+        const auto caller = harness.start("orders");
+        harness.ask(caller, relay_step::write, "item data");
+        harness.pass(milliseconds(1000));
+    }
+    const auto late = harness.start("orders");
+    harness.ask(late, relay_step::write, "item data");
+    REQUIRE(!harness.replies[late].empty());
+    CHECK(harness.last_reply(late).error == relay_error::retry);
+    CHECK(harness.last_reply(late).detail ==
+          "did not run; retry after 1000 ms");
+    CHECK(harness.sent.empty());
+}
+
 } // namespace rhubarbrun_tests
