--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -16,6 +16,8 @@
 using namespace rhubarbrun::platform;
 
 constexpr auto exit_usage = 2;
+/// Time for a control member to answer the calls that it took before SIGTERM.
+constexpr auto control_stop_delay = std::chrono::milliseconds(600);
 /// Variable with the path of the platform's settings file.
 constexpr auto settings_variable = "RHUBARBRUN_NODE_FILE";
 
@@ -29,7 +31,7 @@
 {
     signals.async_wait([&](error_code error, int) {
         if (!error) {
-            log_event("settings_changed");
+            log_event("settings_changed").field("signal", "SIGHUP");
             watch_reload(signals);
         }
     });
@@ -64,10 +66,14 @@
                                     context.stop();
                                 });
     auto signals = asio::signal_set(context, SIGTERM, SIGINT);
-    signals.async_wait([&](error_code error, int) {
-        if (!error) {
-            context.stop();
+    auto last_answers = asio::steady_timer(context);
+    signals.async_wait([&](error_code error, int number) {
+        if (error) {
+            return;
         }
+        log_event("stopping").field("signal", number);
+        last_answers.expires_after(control_stop_delay);
+        last_answers.async_wait([&](error_code) { context.stop(); });
     });
     node.start();
     context.run();
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -1,15 +1,29 @@
 #include <rhubarbrun/coordination/session_relay.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbrun::inline v1 {
 
 namespace {
 
-/// Pause before a statement that a server refused is sent again.
-constexpr auto refusal_pause = milliseconds(15);
-/// Attempts of one statement at servers.
-constexpr auto attempts_limit = std::size_t{8};
+/// First and longest pause before a statement that a server refused is sent
+/// again: the time for some statements of its queue.
+constexpr auto first_refusal_pause = milliseconds(15);
+constexpr auto last_refusal_pause = milliseconds(60);
+/// Attempts of one statement at servers. With the pauses they last for about
+/// the usual time of a statement.
+constexpr auto attempts_limit = std::size_t{20};
+
+/// Pause after so many attempts.
+auto refusal_pause(std::size_t attempts) -> duration
+{
+    return std::min<duration>(first_refusal_pause +
+                                  milliseconds(5) *
+                                      static_cast<std::int64_t>(attempts),
+                              last_refusal_pause);
+}
+
 /// Runs of a read that servers failed.
 constexpr auto failed_read_attempts = std::size_t{3};
 
@@ -208,10 +222,10 @@
         need.excluded = &current.excluded;
         if (!pool_.is_served(now, need)) {
             current.excluded.clear();
-            current.not_before = now + refusal_pause;
+            current.not_before = now + refusal_pause(current.attempts);
         }
     } else {
-        current.not_before = now + refusal_pause;
+        current.not_before = now + refusal_pause(current.attempts);
     }
     if (!assign(now, caller)) {
         wait(caller);
@@ -281,7 +295,7 @@
     {
         ++current.attempts;
         current.is_sent = false;
-        current.not_before = now + refusal_pause;
+        current.not_before = now + refusal_pause(current.attempts);
         pool_.on_full(now, pool_.server_of(id));
         wait(caller);
         return;
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -10,8 +10,8 @@
 constexpr auto waiting_interval = milliseconds(10);
 /// Idle transactions and silent connections are looked for this often.
 constexpr auto sweep_interval = milliseconds(500);
-/// A connection that owes an answer for this long is given up. It is longer
-/// than the slowest statement takes, so that no running one is cut off.
+/// A connection that owes an answer nobody waits for any more is given up
+/// after this long.
 constexpr auto silence_limit = std::chrono::seconds(4);
 /// A load balancer takes this long to notice that a process is not ready: two
 /// probes a second apart, and some margin.
@@ -84,7 +84,7 @@
 {
     auto silent = std::vector<connection_id>();
     for (const auto& [id, target] : connections_) {
-        if (!target.expected.empty() &&
+        if (!target.session && !target.expected.empty() &&
             now - target.expected.front().sent > silence_limit)
         {
             silent.push_back(id);
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -350,4 +350,26 @@
     CHECK(harness.sent.empty());
 }
 
+TEST_CASE("session relay: only a connection whose answer nobody waits for is "
+          "closed for its silence")
+{
+    auto harness = relay_harness();
+    auto slow = service_configuration{};
+    slow.version = 2;
+    slow.groups[group_id("g")] = {90, 0};
+    relay_harness::add(slow, "reports", read_consistency::primary);
+    slow.routes.at(database_id("reports")).statement_timeout =
+        std::chrono::seconds(8);
+    harness.relay.set_configuration(
+        harness.now, std::make_shared<const service_configuration>(slow));
+    const auto caller = harness.start("reports");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.pass(std::chrono::seconds(7));
+    CHECK(harness.closed_connections.empty());
+    CHECK(harness.replies[caller].empty());
+    harness.pass(std::chrono::seconds(2));
+    CHECK(harness.last_reply(caller).error == relay_error::timeout);
+    CHECK(harness.closed_connections.size() == 1);
+}
+
 } // namespace rhubarbrun_tests
