--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -222,8 +222,8 @@
     auto start_next(time_point now, session& caller) -> void;
     auto process(time_point now, session& caller, relay_statement statement)
         -> void;
-    auto begin(time_point now, session& caller, relay_statement statement)
-        -> void;
+    auto begin(time_point now, session& caller,
+               const relay_statement& statement) -> void;
     auto commit(time_point now, session& caller, relay_statement statement)
         -> void;
     auto roll_back(time_point now, session& caller) -> void;
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -97,7 +97,7 @@
     }
     switch (statement.step) {
     case relay_step::begin:
-        begin(now, caller, std::move(statement));
+        begin(now, caller, statement);
         return;
     case relay_step::commit:
         commit(now, caller, std::move(statement));
@@ -142,7 +142,7 @@
 }
 
 auto session_relay::begin(time_point now, session& caller,
-                          relay_statement statement) -> void
+                          const relay_statement& statement) -> void
 {
     if (caller.open) {
         answer_error(now, caller, relay_error::malformed,
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -55,17 +55,18 @@
           files_({options_.data_directory, member_id(options_.address)},
                  random_number),
           cache_(options_.data_directory / "view" / "servers"),
-          links_(
-              context, options_.link_key,
-              {{peer_role::control, options_.address},
-               files_.identity().instance},
-              {[this](const link_info& link) { on_link_up(link); },
-               [this](const link_info& link, message_type type,
-                      std::string payload) { on_message(link, type, payload); },
-               [this](const link_info& link, std::string_view) {
-                   proxies_.erase(link.id);
-               }},
-              options_.links),
+          links_(context, options_.link_key,
+                 {{peer_role::control, options_.address},
+                  files_.identity().instance},
+                 {[this](const link_info& link) { on_link_up(link); },
+                  [this](const link_info& link, message_type type,
+                         const std::string& payload) {
+                      on_message(link, type, payload);
+                  },
+                  [this](const link_info& link, std::string_view) {
+                      proxies_.erase(link.id);
+                  }},
+                 options_.links),
           supervisor_(hooks_.supervisor)
     {
         auto stored = files_.take_stored();
