coordination: open few connections to a server at a time

Change: three connections at a time, one if the server is full or the number of processes is not known yet.

--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -25,6 +25,9 @@
 /// Opening a connection takes a round trip, the server's set-up time and a
 /// slot of it.
 constexpr auto connect_latency_us = 30'000.0;
+/// Connections to one server that are opened at a time; one if it is full,
+/// because each takes a slot that could run statements.
+constexpr auto most_connecting = std::size_t{3};
 /// Weight of a new latency sample.
 constexpr auto sample_weight = 0.2;
 /// A sample counts for nothing after this long, so that a server that was slow
@@ -215,8 +218,11 @@
     const auto share = share_of(each);
     const auto limit =
         now < each.burst_not_before ? share : share * options_.burst_factor;
+    const auto is_pressed = now < each.burst_not_before || !is_sharers_told_;
+    const auto at_once =
+        is_pressed ? std::size_t{1} : std::min(need.waiting, most_connecting);
     return each.open < (is_sharers_told_ ? limit : share) &&
-           each.connecting < need.waiting && now >= each.no_connections_until;
+           each.connecting < at_once && now >= each.no_connections_until;
 }
 
 auto server_pool::choose(time_point now, const demand& need)
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -170,6 +170,11 @@
         }
     }
 
+    [[nodiscard]] auto opening_count() const -> std::size_t
+    {
+        return opening_.size();
+    }
+
     auto last_reply(session_id id) -> relay_reply&
     {
         return replies.at(id).back();
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -372,4 +372,30 @@
     CHECK(harness.closed_connections.size() == 1);
 }
 
+// Pattern: synchronized reconnect. When many processes start together, setting
+// connections up takes the slots that their callers' statements need.
+TEST_CASE("session relay: few connections to a server are opened at a time")
+{
+    auto harness = relay_harness();
+    harness.is_holding = true;
+    const auto press = [&] {
+        for (auto count = 0; count < 12; ++count) {
+            harness.ask(harness.start("orders"), relay_step::write,
+                        "item data");
+        }
+        harness.pass(milliseconds(30));
+    };
+    SUBCASE("one before the number of processes is known")
+    {
+        press();
+        CHECK(harness.opening_count() == 1);
+    }
+    SUBCASE("three to a calm server")
+    {
+        harness.relay.set_sharers(4);
+        press();
+        CHECK(harness.opening_count() == 3);
+    }
+}
+
 } // namespace rhubarbrun_tests
