--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -88,8 +88,7 @@
     /// Supervises a group of the configuration; `count` replicas must hold a
     /// commit before it is acknowledged. Announcements of other groups are
     /// ignored.
-    auto set_synchronous_replicas(const group_id& group, std::uint32_t count)
-        -> void;
+    auto supervise(const group_id& group, std::uint32_t count) -> void;
 
     auto tick(time_point now, const server_directory& directory) -> void;
 
--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -128,9 +128,6 @@
     [[nodiscard]] auto server_of(connection_id id) const -> target_id;
     [[nodiscard]] auto group_of(connection_id id) const -> group_id;
     [[nodiscard]] auto health() const -> std::vector<server_health>;
-    /// Whether some server of the group claims to be primary.
-    [[nodiscard]] auto primary_of(const group_id& group) const
-        -> std::optional<target_id>;
 
 private:
     struct server
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -104,8 +104,6 @@
 
     /// Begins a shutdown that must end `grace` later.
     auto drain(time_point now, duration grace) -> void;
-    /// Whether no session has a request or a transaction.
-    [[nodiscard]] auto is_quiet() const -> bool;
 
     /// Handles what is due; returns when to call again.
     auto tick(time_point now) -> time_point;
--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -100,8 +100,7 @@
     auto on_status(const target_id& server,
                    const std::optional<server_log_status>& status) -> void;
     auto on_promotion(const group_id& group, promotion_outcome outcome) -> void;
-    auto set_synchronous_replicas(const group_id& group, std::uint32_t count)
-        -> void;
+    auto supervise(const group_id& group, std::uint32_t count) -> void;
 
     /// Number that orders this leader's commands after those of all earlier
     /// ones; no value unless this member certainly leads now.
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -63,9 +63,6 @@
     /// no value if there was none.
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>;
 
-    /// Tells control at once what changed, without waiting for the interval.
-    auto report_soon() -> void;
-
 private:
     class implementation;
     std::shared_ptr<implementation> implementation_;
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -52,8 +52,8 @@
     is_leading_ = false;
 }
 
-auto primary_supervisor::set_synchronous_replicas(const group_id& group,
-                                                  std::uint32_t count) -> void
+auto primary_supervisor::supervise(const group_id& group, std::uint32_t count)
+    -> void
 {
     groups_[group].synchronous_replicas = count;
 }
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -516,15 +516,4 @@
     return result;
 }
 
-auto server_pool::primary_of(const group_id& group) const
-    -> std::optional<target_id>
-{
-    for (const auto& [id, each] : servers_) {
-        if (each.record.group == group && is_primary(each)) {
-            return id;
-        }
-    }
-    return std::nullopt;
-}
-
 } // namespace rhubarbrun::inline v1
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -123,12 +123,4 @@
     }
 }
 
-auto session_relay::is_quiet() const -> bool
-{
-    return std::none_of(sessions_.begin(), sessions_.end(),
-                        [](const auto& each) {
-                            return each.second.current || each.second.open;
-                        });
-}
-
 } // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/transport/configuration_node_implementation.hpp
@@ -0,0 +1,152 @@
+#ifndef RHUBARBRUN_SRC_TRANSPORT_CONFIGURATION_NODE_IMPLEMENTATION_HPP
+#define RHUBARBRUN_SRC_TRANSPORT_CONFIGURATION_NODE_IMPLEMENTATION_HPP
+
+#include <rhubarbrun/coordination/consensus.hpp>
+#include <rhubarbrun/protocol/view_messages.hpp>
+#include <rhubarbrun/transport/configuration_node.hpp>
+#include <rhubarbrun/transport/log_files.hpp>
+#include <rhubarbrun/transport/server_cache.hpp>
+#include <rhubarbrun/transport/worker_pool.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun::inline v1 {
+
+/// Everything runs on the one thread of the io_context.
+class configuration_node::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context& context,
+                   configuration_node_options options,
+                   configuration_node_hooks hooks);
+
+    auto start() -> void;
+    auto stop() -> void;
+    auto submit(std::uint64_t version, const std::string& text,
+                submit_callback done) -> void;
+    auto read(read_callback done) -> void;
+    auto announce(const server_record& record, bool is_shared) -> bool;
+    auto withdraw(const target_id& server) -> void;
+
+    auto supervisor() -> primary_supervisor& { return supervisor_; }
+
+    [[nodiscard]] auto fencing_token() const -> std::optional<std::uint64_t>
+    {
+        const auto now = steady_now();
+        if (!member_->is_leader() || !member_->has_leader_lease(now)) {
+            return std::nullopt;
+        }
+        return member_->status(now).current.value();
+    }
+
+    [[nodiscard]] auto leader() const -> std::optional<std::string>
+    {
+        const auto known = member_->leader();
+        return known ? std::optional(known->id.value()) : std::nullopt;
+    }
+
+    [[nodiscard]] auto is_leader() const -> bool
+    {
+        return member_->is_leader();
+    }
+
+    [[nodiscard]] auto dump() const -> std::string;
+
+private:
+    /// Control processes tell each other of their proxies and of the members
+    /// this often; what one told counts for three times as long.
+    static constexpr auto census_interval = std::chrono::seconds(1);
+
+    struct pending_submission
+    {
+        election_term elected;
+        time_point since;
+        submit_callback done;
+    };
+    struct pending_read
+    {
+        time_point since;
+        std::optional<log_index> index;
+        read_callback done;
+    };
+    /// A proxy that is told of changes.
+    struct subscriber
+    {
+        std::uint64_t directory_revision = 0;
+        std::uint64_t configuration_version = 0;
+    };
+
+    [[nodiscard]] auto voters_needed() const -> std::size_t
+    {
+        return 2 * options_.tolerated_losses + 1;
+    }
+
+    auto look_for_members() -> void;
+    auto connect(const std::string& address) -> void;
+    auto on_link_up(const link_info& link) -> void;
+    auto on_message(const link_info& link, message_type type,
+                    const std::string& payload) -> void;
+    auto on_view_request(const link_info& link, const view_request& request)
+        -> void;
+    auto on_report(const sighting_report& report) -> void;
+    auto share(const server_record& record) -> void;
+    /// Sends to every control process, members of the group or not.
+    auto send_to_control(message_type type, const std::string& payload) -> void;
+    auto send_census() -> void;
+    auto save_servers(time_point now) -> void;
+    auto tell_configuration() -> void;
+    [[nodiscard]] auto proxy_count() const -> std::uint32_t;
+    auto send_update(link_id link, subscriber& to) -> void;
+    auto push_updates() -> void;
+    [[nodiscard]] auto is_current() const -> bool;
+    [[nodiscard]] auto member_names() const -> std::vector<std::string>;
+
+    auto run(const std::function<void()>& work) -> void;
+    auto pump() -> void;
+    auto carry_out(consensus_ready& ready) -> void;
+    auto apply(const log_entry& entry) -> void;
+    auto follow_leadership() -> void;
+    auto finish_reads(time_point now) -> void;
+    auto give_up_pending(time_point now) -> void;
+    auto arm_timer() -> void;
+    auto fail(const std::string& reason) -> void;
+
+    configuration_node_options options_;
+    configuration_node_hooks hooks_;
+    asio::steady_timer timer_;
+    log_files files_;
+    server_cache cache_;
+    peer_links links_;
+    std::unique_ptr<consensus_member> member_;
+    configuration_history history_;
+    server_directory directory_;
+    primary_supervisor supervisor_;
+    std::map<link_id, subscriber> proxies_;
+    /// What the other members told last, and when.
+    std::map<std::string, std::pair<proxy_census, time_point>> census_;
+    std::uint64_t cached_revision_ = 0;
+    time_point next_cache_save_;
+    std::set<std::string> connected_;
+    std::multimap<log_index, pending_submission> submissions_;
+    std::map<read_ticket, pending_read> reads_;
+    log_index applied_;
+    log_index snapshot_index_;
+    time_point next_look_;
+    time_point next_supervision_;
+    time_point leader_heard_at_;
+    bool was_leading_ = false;
+    bool is_stopped_ = false;
+    bool is_pumping_ = false;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- /dev/null
+++ b/src/transport/configuration_node_views.cpp
@@ -0,0 +1,301 @@
+#include "configuration_node_implementation.hpp"
+
+#include <rhubarbrun/transport/event_log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+// Links to other processes, and the view of servers that is shared over them.
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// A member that heard the leader within this time learns of new
+/// configurations.
+constexpr auto leader_silence_limit = milliseconds(1500);
+/// The file of known servers is written at most this often.
+constexpr auto cache_interval = milliseconds(250);
+
+} // namespace
+
+auto configuration_node::implementation::connect(const std::string& address)
+    -> void
+{
+    // One side of each pair connects, which spares a second link.
+    if (address <= options_.address || !connected_.insert(address).second) {
+        return;
+    }
+    links_.connect({peer_role::control, address},
+                   {asio::ip::make_address(address), options_.peer_port});
+}
+
+auto configuration_node::implementation::member_names() const
+    -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>();
+    for (const auto& member :
+         member_->status(steady_now()).configuration.members) {
+        names.push_back(member.identity.id.value());
+    }
+    return names;
+}
+
+auto configuration_node::implementation::look_for_members() -> void
+{
+    const auto seeds = options_.seeds();
+    const auto members = member_names();
+    auto wanted = std::set<std::string>(seeds.begin(), seeds.end());
+    wanted.insert(members.begin(), members.end());
+    if (members.empty()) {
+        for (const auto& [name, told] : census_) {
+            wanted.insert(told.first.members.begin(), told.first.members.end());
+        }
+    }
+    wanted.erase(options_.address);
+    auto contacts = std::vector<member_id>();
+    const auto is_member = std::find(members.begin(), members.end(),
+                                     options_.address) != members.end();
+    for (const auto& address : wanted) {
+        contacts.emplace_back(address);
+        // An outsider is not known to the others and connects to all.
+        if (is_member) {
+            connect(address);
+        } else if (connected_.insert(address).second) {
+            links_.connect(
+                {peer_role::control, address},
+                {asio::ip::make_address(address), options_.peer_port});
+        }
+    }
+    for (auto each = connected_.begin(); each != connected_.end();) {
+        if (wanted.contains(*each)) {
+            ++each;
+            continue;
+        }
+        links_.forget({peer_role::control, *each});
+        each = connected_.erase(each);
+    }
+    member_->set_contacts(std::move(contacts));
+}
+
+auto configuration_node::implementation::on_link_up(const link_info& link)
+    -> void
+{
+    if (link.peer.who.role != peer_role::control) {
+        return;
+    }
+    auto known = server_announcements{directory_.changed_since(0)};
+    if (!known.records.empty()) {
+        links_.send(link.id, message_type::server_announcements, encode(known));
+    }
+    send_census();
+}
+
+auto configuration_node::implementation::on_message(const link_info& link,
+                                                    message_type type,
+                                                    const std::string& payload)
+    -> void
+{
+    run([&] {
+        switch (type) {
+        case message_type::consensus:
+            if (auto message = decode<consensus_message>(payload)) {
+                const auto now = steady_now();
+                const auto known = member_->leader();
+                if (known && known->id == message->from.id) {
+                    leader_heard_at_ = now;
+                }
+                member_->step(now, std::move(*message));
+            }
+            break;
+        case message_type::server_announcements:
+            if (const auto message = decode<server_announcements>(payload)) {
+                for (const auto& record : message->records) {
+                    announce(record, false);
+                }
+            }
+            break;
+        case message_type::view_request:
+            if (const auto message = decode<view_request>(payload)) {
+                on_view_request(link, *message);
+            }
+            break;
+        case message_type::sighting_report:
+            if (const auto message = decode<sighting_report>(payload)) {
+                on_report(*message);
+            }
+            break;
+        case message_type::proxy_census:
+            if (const auto message = decode<proxy_census>(payload)) {
+                census_[link.peer.who.name] = {*message, steady_now()};
+                if (member_names().empty()) {
+                    look_for_members();
+                }
+            }
+            break;
+        default:
+            log_event("message_ignored", event_severity::warning)
+                .field("type", static_cast<int>(type));
+        }
+    });
+}
+
+auto configuration_node::implementation::on_view_request(
+    const link_info& link, const view_request& request) -> void
+{
+    auto& to = proxies_[link.id];
+    to.configuration_version = request.configuration_version;
+    send_update(link.id, to);
+    if (member_->is_leader()) {
+        on_report(request.report);
+    } else if (const auto known = leader()) {
+        links_.send({peer_role::control, *known}, message_type::sighting_report,
+                    encode(request.report));
+    }
+}
+
+auto configuration_node::implementation::on_report(
+    const sighting_report& report) -> void
+{
+    auto sightings = std::vector<server_sighting>();
+    for (const auto& each : report.sightings) {
+        auto sighting = server_sighting{};
+        sighting.server = each.server;
+        if (each.answered_ago_ms >= 0) {
+            sighting.answered_ago = milliseconds(each.answered_ago_ms);
+        }
+        if (each.failing_for_ms >= 0) {
+            sighting.failing_for = milliseconds(each.failing_for_ms);
+        }
+        sightings.push_back(std::move(sighting));
+    }
+    supervisor_.on_sightings(steady_now(), report.proxy, sightings);
+}
+
+auto configuration_node::implementation::is_current() const -> bool
+{
+    const auto now = steady_now();
+    return member_->is_leader() ? member_->has_leader_lease(now)
+                                : now - leader_heard_at_ < leader_silence_limit;
+}
+
+auto configuration_node::implementation::send_update(link_id link,
+                                                     subscriber& to) -> void
+{
+    auto update = view_update{};
+    update.is_current = is_current();
+    update.configuration_version = history_.newest().version;
+    if (to.configuration_version < history_.newest().version) {
+        update.configuration = history_.newest().packed;
+        to.configuration_version = history_.newest().version;
+    }
+    update.servers = directory_.changed_since(to.directory_revision);
+    to.directory_revision = directory_.revision();
+    for (const auto& name : member_names()) {
+        const auto told = census_.find(name);
+        const auto region = name == options_.address ? options_.region
+                            : told == census_.end()  ? std::string()
+                                                    : told->second.first.region;
+        update.control_members.push_back({name, region});
+    }
+    update.proxies = proxy_count();
+    links_.send(link, message_type::view_update, encode(update));
+}
+
+auto configuration_node::implementation::send_census() -> void
+{
+    send_to_control(
+        message_type::proxy_census,
+        encode(proxy_census{static_cast<std::uint32_t>(proxies_.size()),
+                            options_.region, member_names()}));
+}
+
+auto configuration_node::implementation::proxy_count() const -> std::uint32_t
+{
+    auto count = static_cast<std::uint32_t>(proxies_.size());
+    const auto now = steady_now();
+    for (const auto& [name, told] : census_) {
+        if (now - told.second < 3 * census_interval) {
+            count += told.first.proxies;
+        }
+    }
+    return count;
+}
+
+auto configuration_node::implementation::push_updates() -> void
+{
+    for (auto& [link, to] : proxies_) {
+        if (to.directory_revision < directory_.revision() ||
+            to.configuration_version < history_.newest().version)
+        {
+            send_update(link, to);
+        }
+    }
+}
+
+auto configuration_node::implementation::announce(const server_record& record,
+                                                  bool is_shared) -> bool
+{
+    const auto result = directory_.merge(steady_now(), record);
+    if (result == server_directory::merge_result::stale) {
+        return false;
+    }
+    if (result == server_directory::merge_result::changed) {
+        log_event("server_changed")
+            .field("server", record.id)
+            .field("group", record.group)
+            .field("role",
+                   record.role == server_role::primary ? "primary" : "replica")
+            .field("state", static_cast<int>(record.state))
+            .field("sequence", record.sequence);
+        push_updates();
+    }
+    if (is_shared) {
+        share(record);
+    }
+    return true;
+}
+
+auto configuration_node::implementation::share(const server_record& record)
+    -> void
+{
+    send_to_control(message_type::server_announcements,
+                    encode(server_announcements{{record}}));
+}
+
+auto configuration_node::implementation::send_to_control(
+    message_type type, const std::string& payload) -> void
+{
+    auto names = std::set<std::string>();
+    for (const auto& link : links_.links()) {
+        if (link.peer.who.role == peer_role::control) {
+            names.insert(link.peer.who.name);
+        }
+    }
+    for (const auto& name : names) {
+        links_.send({peer_role::control, name}, type, payload);
+    }
+}
+
+auto configuration_node::implementation::withdraw(const target_id& server)
+    -> void
+{
+    const auto* const record = directory_.remove(steady_now(), server);
+    if (record != nullptr) {
+        log_event("server_gone").field("server", server);
+        push_updates();
+        share(*record);
+    }
+}
+
+auto configuration_node::implementation::save_servers(time_point now) -> void
+{
+    if (directory_.revision() == cached_revision_ || now < next_cache_save_) {
+        return;
+    }
+    cached_revision_ = directory_.revision();
+    next_cache_save_ = now + cache_interval;
+    cache_.save(directory_.changed_since(0));
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -254,9 +254,4 @@
     return implementation_->age(now);
 }
 
-auto view_client::report_soon() -> void
-{
-    implementation_->request();
-}
-
 } // namespace rhubarbrun::inline v1
--- a/tests/coordination/primary_supervisor_test.cpp
+++ b/tests/coordination/primary_supervisor_test.cpp
@@ -18,7 +18,7 @@
 public:
     supervised_servers() : supervisor(make_hooks())
     {
-        supervisor.set_synchronous_replicas(group_id("g"), 0);
+        supervisor.supervise(group_id("g"), 0);
         supervisor.start_leading(now);
         announce("p", server_role::primary);
         announce("r1", server_role::replica);
@@ -186,7 +186,7 @@
           "the only holder of a commit")
 {
     auto servers = supervised_servers();
-    servers.supervisor.set_synchronous_replicas(group_id("g"), 1);
+    servers.supervisor.supervise(group_id("g"), 1);
     servers.pass(std::chrono::seconds(2), all);
     for (auto round = 0; round < 6; ++round) {
         servers.pass(std::chrono::seconds(1), replicas);
