--- a/include/rhubarbrun/coordination/relay_messages.hpp
+++ b/include/rhubarbrun/coordination/relay_messages.hpp
@@ -85,7 +85,7 @@
 {
     std::vector<std::string> rows;
     relay_error error = relay_error::none;
-    /// The server's proof of a success, or the text of an error.
+    /// The server's signature of a success, or the text of an error.
     std::string detail;
     transaction_status status = transaction_status::idle;
     /// End of the log of the server that answered.
--- a/include/rhubarbrun/transport/worker_pool.hpp
+++ b/include/rhubarbrun/transport/worker_pool.hpp
@@ -38,7 +38,7 @@
     std::vector<std::thread> threads_;
 };
 
-/// Microseconds since the machine's start, time in suspension included.
+/// Microseconds since the VM's start, time in suspension included.
 [[nodiscard]] auto steady_now() noexcept -> time_point;
 
 } // namespace rhubarbrun::inline v1
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -103,7 +103,7 @@
         sent.pop_front();
         auto reply = relay_reply{};
         reply.error = error;
-        reply.detail = "proof";
+        reply.detail = "signature";
         reply.position = log_position{term(at_term), log_offset(position)};
         auto& status =
             statuses_.try_emplace(first.connection, transaction_status::idle)
