--- a/include/rhubarbrun/transport/latency_histogram.hpp
+++ b/include/rhubarbrun/transport/latency_histogram.hpp
@@ -34,8 +34,9 @@
             const auto bound = index < bounds_ms.size()
                                    ? std::to_string(bounds_ms.at(index))
                                    : std::string("+Inf");
-            out += name + "_bucket{" + labels + "le=\"" + bound + "\"} " +
-                   std::to_string(total) + '\n';
+            out.append(name).append("_bucket{").append(labels);
+            out.append("le=\"").append(bound).append("\"} ");
+            out.append(std::to_string(total)).append("\n");
         }
         return out;
     }
