--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -290,7 +290,9 @@
         -> void;
     auto try_again(time_point now, session& caller, relay_error cause,
                    const target_id& server) -> void;
-    auto fail_transaction(session& caller) -> void;
+    /// The transaction, if one is open, is over at its server. A commit ends
+    /// it for the caller as well; after anything else the caller rolls it back.
+    static auto end_transaction(session& caller) -> void;
     auto expire(time_point now, session& caller) -> void;
     auto detach(time_point now, session& caller) -> void;
     auto settle(time_point now, connection_id id) -> void;
--- a/src/transport/acceptor.hpp
+++ b/include/rhubarbrun/transport/acceptor.hpp
@@ -1,9 +1,9 @@
-#ifndef RHUBARBRUN_SRC_TRANSPORT_ACCEPTOR_HPP
-#define RHUBARBRUN_SRC_TRANSPORT_ACCEPTOR_HPP
+#ifndef RHUBARBRUN_TRANSPORT_ACCEPTOR_HPP
+#define RHUBARBRUN_TRANSPORT_ACCEPTOR_HPP
 
 #include <rhubarbrun/transport/asio.hpp>
 
-namespace rhubarbrun::detail {
+namespace rhubarbrun::inline v1 {
 
 /// Starts to listen at `endpoint`; port 0 stands for any. Returns the endpoint
 /// in use.
@@ -20,6 +20,6 @@
     return acceptor.local_endpoint();
 }
 
-} // namespace rhubarbrun::detail
+} // namespace rhubarbrun::inline v1
 
 #endif
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -202,13 +202,7 @@
 auto session_relay::refuse(time_point now, session& caller) -> void
 {
     auto reply = not_run_reply(now, caller);
-    const auto is_commit = caller.current->statement.step == relay_step::commit;
-    if (caller.open) {
-        fail_transaction(caller);
-        if (is_commit) {
-            caller.open.reset();
-        }
-    }
+    end_transaction(caller);
     finish(now, caller, std::move(reply));
 }
 
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -217,8 +217,7 @@
     log(now, "sent_elsewhere", caller, server, cause);
     if (!needs_primary(caller)) {
         current.excluded.insert(server);
-        auto need = server_pool::demand{};
-        need.group = current.route.route->group;
+        auto need = demand_of(caller);
         need.excluded = &current.excluded;
         if (!pool_.is_served(now, need)) {
             current.excluded.clear();
@@ -322,18 +321,24 @@
         }
     }
     detach(now, caller);
-    opened.is_failed = true;
-    if (is_commit) {
-        caller.open.reset();
-    }
+    end_transaction(caller);
     finish(now, caller, std::move(reply));
     if (has_committed) {
         note_observation(now, group, asked.sent, position);
     }
 }
 
-auto session_relay::fail_transaction(session& caller) -> void
+auto session_relay::end_transaction(session& caller) -> void
 {
+    if (!caller.open) {
+        return;
+    }
+    const auto is_commit =
+        caller.current && caller.current->statement.step == relay_step::commit;
+    if (is_commit) {
+        caller.open.reset();
+        return;
+    }
     caller.open->is_failed = true;
     caller.open->connection.reset();
 }
@@ -403,9 +408,7 @@
     }
     auto& caller = owner->second;
     if (!caller.current) {
-        if (caller.open) {
-            fail_transaction(caller);
-        }
+        end_transaction(caller);
         return;
     }
     auto& current = *caller.current;
@@ -418,24 +421,16 @@
         try_again(now, caller, relay_error::other, server);
         return;
     }
-    if (!is_begun) {
-        finish(now, caller,
-               error_reply(relay_error::in_doubt,
-                           "the connection to the server was lost"));
-        return;
-    }
+    // A transaction whose commit was not sent, or that wrote nothing, is rolled
+    // back with the connection.
     const auto is_commit = current.statement.step == relay_step::commit;
     const auto is_doubtful =
-        is_commit && current.is_sent && caller.open->has_written;
-    fail_transaction(caller);
-    if (is_commit) {
-        caller.open.reset();
-    }
-    finish(now, caller,
-           is_doubtful ? error_reply(relay_error::in_doubt,
-                                     "the connection to the server was lost")
-                       : error_reply(relay_error::aborted,
-                                     "the connection to the server was lost"));
+        !is_begun || (is_commit && current.is_sent && caller.open->has_written);
+    end_transaction(caller);
+    finish(
+        now, caller,
+        error_reply(is_doubtful ? relay_error::in_doubt : relay_error::aborted,
+                    "the connection to the server was lost"));
 }
 
 auto session_relay::expire(time_point now, session& caller) -> void
@@ -458,11 +453,8 @@
         if (!is_sent || (is_commit && !is_kept)) {
             error = relay_error::aborted;
         }
-        caller.open->is_failed = true;
-        if (is_commit) {
-            caller.open.reset();
-        }
     }
+    end_transaction(caller);
     finish(now, caller, error_reply(error, "the statement's time is over"));
 }
 
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -75,7 +75,7 @@
             log(now, "idle_transaction_ended", caller, {},
                 relay_error::aborted);
             detach(now, caller);
-            caller.open->is_failed = true;
+            end_transaction(caller);
         }
     }
 }
--- a/src/transport/caller_server.cpp
+++ b/src/transport/caller_server.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbrun/transport/caller_server.hpp>
 
-#include "acceptor.hpp"
+#include <rhubarbrun/transport/acceptor.hpp>
 
 #include <rhubarbrun/coordination/cancel_keys.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
@@ -430,7 +430,7 @@
       acceptor_(strand_),
       pause_(strand_)
 {
-    port_ = detail::listen_at(acceptor_, options_.listen).port();
+    port_ = listen_at(acceptor_, options_.listen).port();
 }
 
 auto caller_server::shared_state::start() -> void
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbrun/transport/http_server.hpp>
 
-#include "acceptor.hpp"
+#include <rhubarbrun/transport/acceptor.hpp>
 
 #include <rhubarbrun/transport/event_log.hpp>
 
@@ -128,7 +128,7 @@
 
     auto listen(const tcp::endpoint& endpoint) -> tcp::endpoint
     {
-        auto bound = detail::listen_at(acceptor_, endpoint);
+        auto bound = listen_at(acceptor_, endpoint);
         asio::post(acceptor_.get_executor(),
                    [self = shared_from_this()] { self->accept(); });
         return bound;
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -1,7 +1,7 @@
 #include <rhubarbrun/transport/peer_links.hpp>
 
-#include "acceptor.hpp"
 #include "peer_connection.hpp"
+#include <rhubarbrun/transport/acceptor.hpp>
 
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/ranked_mutex.hpp>
@@ -52,7 +52,7 @@
 
     auto listen(const tcp::endpoint& endpoint) -> tcp::endpoint
     {
-        auto bound = detail::listen_at(acceptor_, endpoint);
+        auto bound = listen_at(acceptor_, endpoint);
         asio::post(acceptor_.get_executor(),
                    [self = shared_from_this()] { self->accept(); });
         return bound;
