coordination: give idle connections back where processes outnumber them

Cause: on the grown Salt Trust deployment 127 proxies share 84 connections of a server. Each kept its last idle connection for good, so a third of the proxies had none, and their requests waited for their whole time. Change: where a process's part of a server's connections is below one, every idle connection is closed after 800 ms.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -41,6 +41,10 @@
     /// Idle connections beyond this process's share of the server's limit are
     /// closed after this long, for others to use.
     duration surplus_idle_limit = std::chrono::milliseconds(400);
+    /// Where the processes outnumber a server's connections, every idle one is
+    /// closed after this long: about the pause between two statements of one
+    /// process for one server.
+    duration scarce_idle_limit = std::chrono::milliseconds(800);
 };
 
 /// Which servers a process may use, and its connections to them.
@@ -72,6 +76,7 @@
     struct server_health
     {
         target_id id;
+        bool is_primary = false;
         /// Last answer of the server, if there was one.
         std::optional<time_point> answered_at;
         /// Set while attempts to use the server fail.
@@ -171,7 +176,10 @@
     [[nodiscard]] auto score(time_point now, const server& each,
                              bool is_primary_needed) const -> double;
     [[nodiscard]] auto base_latency(const server& each) const -> double;
+    /// This process's part of the server's connections, which may be below 1.
+    [[nodiscard]] auto part_of(const server& each) const -> double;
     [[nodiscard]] auto share_of(const server& each) const -> std::size_t;
+    auto close_unused(time_point now, server& each) -> void;
     [[nodiscard]] auto may_open(time_point now, const server& each,
                                 const demand& need) const -> bool;
     auto open(time_point now, server& each) -> void;
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -204,12 +204,16 @@
     is_sharers_told_ = true;
 }
 
-auto server_pool::share_of(const server& each) const -> std::size_t
+auto server_pool::part_of(const server& each) const -> double
 {
     const auto found = limits_.find(each.record.group);
     const auto total = found == limits_.end() ? 0U : found->second;
-    const auto share = shared_part * total / sharers_;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+    return shared_part * total / sharers_;
+}
+
+auto server_pool::share_of(const server& each) const -> std::size_t
+{
+    return std::max<std::size_t>(1, static_cast<std::size_t>(part_of(each)));
 }
 
 auto server_pool::may_open(time_point now, const server& each,
@@ -481,18 +485,27 @@
 auto server_pool::tick(time_point now) -> time_point
 {
     for (auto& [id, each] : servers_) {
-        close_idle(now, each, 1, options_.idle_limit);
-        // Idle connections are the surplus as far as there are any.
-        const auto share = share_of(each);
-        if (each.open > share) {
-            const auto surplus = std::min(each.open - share, each.idle.size());
-            close_idle(now, each, each.idle.size() - surplus,
-                       options_.surplus_idle_limit);
-        }
+        close_unused(now, each);
     }
     return now + tick_interval;
 }
 
+auto server_pool::close_unused(time_point now, server& each) -> void
+{
+    if (is_sharers_told_ && part_of(each) < 1) {
+        close_idle(now, each, 0, options_.scarce_idle_limit);
+    } else {
+        close_idle(now, each, 1, options_.idle_limit);
+    }
+    // Idle connections are the surplus as far as there are any.
+    const auto share = share_of(each);
+    if (each.open > share) {
+        const auto surplus = std::min(each.open - share, each.idle.size());
+        close_idle(now, each, each.idle.size() - surplus,
+                   options_.surplus_idle_limit);
+    }
+}
+
 auto server_pool::server_of(connection_id id) const -> target_id
 {
     const auto found = connections_.find(id);
@@ -510,7 +523,8 @@
     auto result = std::vector<server_health>();
     for (const auto& [id, each] : servers_) {
         if (each.answered_at || each.failing_since) {
-            result.push_back({id, each.answered_at, each.failing_since});
+            result.push_back(
+                {id, is_primary(each), each.answered_at, each.failing_since});
         }
     }
     return result;
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -249,6 +249,25 @@
     CHECK(harness.opened - harness.closed_connections.size() == 4);
 }
 
+// Pattern: more processes than a server has connections. Those that came first
+// kept an idle connection each for good, and the others got none.
+TEST_CASE("session relay: an idle connection is given back where processes "
+          "outnumber the connections")
+{
+    auto harness = relay_harness();
+    harness.relay.set_sharers(120); // 90 connections
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer_all();
+    harness.pass(milliseconds(300));
+    CHECK(harness.closed_connections.empty());
+    harness.pass(milliseconds(1200));
+    CHECK(harness.opened == harness.closed_connections.size());
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer_all();
+    CHECK(harness.last_reply(caller).is_success());
+}
+
 // Pattern: a full server gets ever more connections, which hold none of its
 // slots but starve other processes.
 TEST_CASE("session relay: a full server gets no connections beyond the share")
