coordination, platform: control asks primaries for positions, merges sightings

Cause: on the grown deployments every proxy asked every primary for its position about once a second, which needs a connection from each to each, and every proxy's report of all servers went to the control leader, between regions. Change: control members ask the primaries (position_watch) and tell the answers to their proxies; an answer's age counts back from the proxy's request, so that it can only look older than it is. A proxy asks by itself after 75% of a staleness limit without news.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -35,11 +35,12 @@
     unknown,
 };
 
-/// What a proxy sees of one server.
+/// What a proxy, or several together, see of one server.
 struct server_sighting
 {
     target_id server;
-    /// Since its last answer; no value if it never answered.
+    /// Since its last answer to a proxy whose attempts do not fail; no value if
+    /// there is none.
     std::optional<duration> answered_ago;
     /// Since when attempts fail; no value if they do not.
     std::optional<duration> failing_for;
@@ -76,8 +77,8 @@
     auto start_leading(time_point now) -> void;
     auto stop_leading() -> void;
 
-    /// What a proxy saw at `now`.
-    auto on_sightings(time_point now, const std::string& proxy,
+    /// What a proxy, or a control member's proxies together, saw at `now`.
+    auto on_sightings(time_point now, const std::string& observer,
                       const std::vector<server_sighting>& sightings) -> void;
     /// A server's answer, or no value if it did not answer in time.
     auto on_status(time_point now, const target_id& server,
@@ -152,7 +153,7 @@
     bool is_leading_ = false;
     time_point leading_since_;
     std::map<group_id, supervised_group> groups_;
-    /// By server, then by proxy.
+    /// By server, then by observer.
     std::map<target_id, std::map<std::string, sighting>> sightings_;
 };
 
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -102,6 +102,14 @@
     auto on_reply(time_point now, connection_id id, relay_reply reply) -> void;
     auto on_connection_lost(time_point now, connection_id id) -> void;
 
+    /// Control learned that every commit of the group that was acknowledged
+    /// before `asked_at` is covered by `position`.
+    auto on_position(time_point now, const group_id& group, time_point asked_at,
+                     const log_position& position) -> void
+    {
+        note_observation(now, group, asked_at, position);
+    }
+
     /// Begins a shutdown that must end `grace` later.
     auto drain(time_point now, duration grace) -> void;
 
--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_PROTOCOL_VIEW_MESSAGES_HPP
 
 #include <rhubarbrun/protocol/strict_archive.hpp>
+#include <rhubarbrun/state/log_position.hpp>
 #include <rhubarbrun/state/server_record.hpp>
 
 #include <cereal/types/string.hpp>
@@ -43,8 +44,8 @@
     }
 };
 
-/// What a proxy sees of one server; times are in milliseconds before sending,
-/// -1 for never.
+/// What one proxy or several see of a server; times are in milliseconds before
+/// sending, -1 for never.
 struct sighting_record
 {
     target_id server;
@@ -58,22 +59,25 @@
     }
 };
 
-/// Control member to the leader: what a proxy told it.
+/// What a proxy, or a control member's proxies together, see of the servers.
 struct sighting_report
 {
-    std::string proxy;
+    /// Name of the proxy or of the control member.
+    std::string observer;
     std::vector<sighting_record> sightings;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(proxy, sightings);
+        archive(observer, sightings);
     }
 };
 
 /// Proxy to control, at regular intervals: asks for changes from now on.
 struct view_request
 {
+    /// Repeated by the answer. Numbers of one proxy ascend.
+    std::uint64_t number = 0;
     /// Version of the configuration that the proxy holds.
     std::uint64_t configuration_version = 0;
     sighting_report report;
@@ -81,7 +85,7 @@
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(configuration_version, report);
+        archive(number, configuration_version, report);
     }
 };
 
@@ -100,9 +104,27 @@
     }
 };
 
+/// A position that covers every commit of a group that was acknowledged before
+/// `asked_ago_ms` before sending.
+struct position_record
+{
+    group_id group;
+    log_position position;
+    /// Rounded up.
+    std::int64_t asked_ago_ms = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(group, position, asked_ago_ms);
+    }
+};
+
 /// Control to proxy, as an answer and whenever something changed.
 struct view_update
 {
+    /// Number of the request that this answers; 0 if there was none.
+    std::uint64_t answers = 0;
     /// Whether the sender is in contact with the leader, so that it learns of
     /// every accepted configuration.
     bool is_current = false;
@@ -114,12 +136,14 @@
     std::vector<control_member_record> control_members;
     /// Proxies of the whole deployment, which share the servers' connections.
     std::uint32_t proxies = 1;
+    /// Only in answers: their request bounds the time that passed since.
+    std::vector<position_record> positions;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(is_current, configuration_version, configuration, servers,
-                control_members, proxies);
+        archive(answers, is_current, configuration_version, configuration,
+                servers, control_members, proxies, positions);
     }
 };
 
--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_TRANSPORT_CONFIGURATION_NODE_HPP
 
 #include <rhubarbrun/coordination/consensus_options.hpp>
+#include <rhubarbrun/coordination/position_watch.hpp>
 #include <rhubarbrun/coordination/primary_supervisor.hpp>
 #include <rhubarbrun/coordination/server_directory.hpp>
 #include <rhubarbrun/protocol/secret_key.hpp>
@@ -45,6 +46,8 @@
 struct configuration_node_hooks
 {
     primary_supervisor_hooks supervisor;
+    /// Asks a primary for its log position; `on_position` follows.
+    position_watch::ask_function ask_position;
     /// A configuration is in force; `text` is its document.
     std::function<void(std::uint64_t version, const std::string& text)>
         on_configuration;
@@ -100,6 +103,8 @@
     auto on_status(const target_id& server,
                    const std::optional<server_log_status>& status) -> void;
     auto on_promotion(const group_id& group, promotion_outcome outcome) -> void;
+    auto on_position(const group_id& group, time_point asked_at,
+                     const std::optional<log_position>& position) -> void;
     auto supervise(const group_id& group, std::uint32_t count) -> void;
 
     /// Number that orders this leader's commands after those of all earlier
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -40,6 +40,11 @@
     std::function<std::vector<sighting_record>()> sightings;
     /// Version of the configuration that this process holds.
     std::function<std::uint64_t()> configuration_version;
+    /// Every commit of the group that was acknowledged before `asked_at` is
+    /// covered by the position.
+    std::function<void(const group_id&, time_point asked_at,
+                       const log_position&)>
+        on_position = {};
 };
 
 /// Keeps a proxy's view of servers and configuration up to date.
--- /dev/null
+++ b/src/coordination/position_watch.cpp
@@ -0,0 +1,83 @@
+#include <rhubarbrun/coordination/position_watch.hpp>
+
+#include <utility>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// A proxy asks every 500 ms; with both intervals and the round trips a
+/// position is about a second old when it is replaced, less than the shortest
+/// staleness limit in use.
+constexpr auto ask_interval = milliseconds(350);
+/// A question without an answer is asked again after this long.
+constexpr auto ask_patience = milliseconds(800);
+/// Observations older than this help nobody.
+constexpr auto observation_life = std::chrono::seconds(5);
+
+} // namespace
+
+position_watch::position_watch(ask_function ask) : ask_(std::move(ask)) {}
+
+auto position_watch::watch(const group_id& group) -> void
+{
+    groups_.try_emplace(group);
+}
+
+auto position_watch::tick(time_point now, const server_directory& directory)
+    -> void
+{
+    for (auto& [id, group] : groups_) {
+        const auto pause = group.is_asking ? ask_patience : ask_interval;
+        if (now - group.asked_at < pause) {
+            continue;
+        }
+        const auto* const primary = directory.claimed_primary(id);
+        // A primary that leaves gets no new work.
+        if (primary == nullptr ||
+            primary->record.state != server_availability::ready) {
+            continue;
+        }
+        group.asked_at = now;
+        group.is_asking = true;
+        ask_(primary->record, now);
+    }
+}
+
+auto position_watch::on_position(const group_id& group, time_point asked_at,
+                                 const std::optional<log_position>& position)
+    -> void
+{
+    const auto found = groups_.find(group);
+    if (found == groups_.end()) {
+        return;
+    }
+    auto& watched = found->second;
+    if (asked_at == watched.asked_at) {
+        watched.is_asking = false;
+    }
+    if (!position) {
+        return;
+    }
+    const auto is_outdated =
+        watched.newest &&
+        (position->group_term < watched.newest->position.group_term ||
+         asked_at <= watched.newest->asked_at);
+    if (!is_outdated) {
+        watched.newest = observation{group, asked_at, *position};
+    }
+}
+
+auto position_watch::observations(time_point now) const
+    -> std::vector<observation>
+{
+    auto result = std::vector<observation>();
+    for (const auto& [id, group] : groups_) {
+        if (group.newest && now - group.newest->asked_at < observation_life) {
+            result.push_back(*group.newest);
+        }
+    }
+    return result;
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -59,11 +59,11 @@
 }
 
 auto primary_supervisor::on_sightings(
-    time_point now, const std::string& proxy,
+    time_point now, const std::string& observer,
     const std::vector<server_sighting>& sightings) -> void
 {
     for (const auto& each : sightings) {
-        auto& known = sightings_[each.server][proxy];
+        auto& known = sightings_[each.server][observer];
         known.told_at = now;
         known.answered_at.reset();
         known.failing_since.reset();
@@ -84,7 +84,7 @@
            std::any_of(found->second.begin(), found->second.end(),
                        [&](const auto& each) {
                            const auto& seen = each.second;
-                           return seen.answered_at && !seen.failing_since &&
+                           return seen.answered_at &&
                                   now - *seen.answered_at < served_time;
                        });
 }
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-/// A position is asked for again after this part of the staleness limit, so
-/// that reads need not wait for it.
-constexpr auto refresh_divisor = 2;
+/// Control tells positions several times within a staleness limit. If the
+/// newest is older than this percentage of it, the primary is asked directly;
+/// the rest of the limit is time for its answer.
+constexpr auto refresh_percentage = 75;
 /// A probe without an answer is repeated after this long.
 constexpr auto probe_patience = milliseconds(400);
 /// A primary is noticed to be lost, replaced and announced within this time.
@@ -89,7 +90,8 @@
     const auto& route = *current.route.route;
     const auto& observed = observations_[route.group];
     const auto latest = observed.latest();
-    if (!latest || now - *latest > route.staleness_limit / refresh_divisor) {
+    if (!latest ||
+        now - *latest > route.staleness_limit * refresh_percentage / 100) {
         want_probe(now, route.group);
     }
     const auto arrived = caller.open ? caller.open->arrived : current.arrived;
--- /dev/null
+++ b/src/coordination/sighting_digest.cpp
@@ -0,0 +1,79 @@
+#include <rhubarbrun/coordination/sighting_digest.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// A proxy's report counts for three of its intervals of 500 ms.
+constexpr auto report_life = milliseconds(1500);
+/// Between two digests; with a failure in them, a small part of the time in
+/// which a primary should be replaced.
+constexpr auto calm_interval = milliseconds(400);
+constexpr auto failure_interval = milliseconds(100);
+
+auto merge(server_sighting& into, const server_sighting& from) -> void
+{
+    if (from.answered_ago) {
+        into.answered_ago = std::min(
+            into.answered_ago.value_or(*from.answered_ago), *from.answered_ago);
+    }
+    if (from.failing_for) {
+        into.failing_for = std::max(
+            into.failing_for.value_or(*from.failing_for), *from.failing_for);
+    }
+}
+
+} // namespace
+
+auto sighting_digest::add(time_point now, const std::string& proxy,
+                          const std::vector<server_sighting>& sightings) -> void
+{
+    reports_[proxy] = {now, sightings};
+    is_changed_ = true;
+    is_failure_told_ |=
+        std::any_of(sightings.begin(), sightings.end(), [](const auto& each) {
+            return each.failing_for.has_value();
+        });
+}
+
+auto sighting_digest::is_due(time_point now) const -> bool
+{
+    const auto interval = is_failure_told_ ? failure_interval : calm_interval;
+    return is_changed_ && now - taken_at_ >= interval;
+}
+
+auto sighting_digest::take(time_point now) -> std::vector<server_sighting>
+{
+    taken_at_ = now;
+    is_changed_ = false;
+    is_failure_told_ = false;
+    std::erase_if(reports_, [&](const auto& each) {
+        return now - each.second.told_at > report_life;
+    });
+    auto merged = std::map<target_id, server_sighting>();
+    for (const auto& [proxy, told] : reports_) {
+        const auto age = now - told.told_at;
+        for (auto sighting : told.sightings) {
+            if (sighting.answered_ago) {
+                *sighting.answered_ago += age;
+            }
+            if (sighting.failing_for) {
+                *sighting.failing_for += age;
+            }
+            auto& into = merged[sighting.server];
+            into.server = sighting.server;
+            merge(into, sighting);
+        }
+    }
+    auto result = std::vector<server_sighting>();
+    result.reserve(merged.size());
+    for (const auto& [id, sighting] : merged) {
+        result.push_back(sighting);
+    }
+    return result;
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -47,7 +47,8 @@
                proxies_.erase(link.id);
            }},
           options_.links),
-      supervisor_(hooks_.supervisor)
+      supervisor_(hooks_.supervisor),
+      positions_(hooks_.ask_position)
 {
     auto stored = files_.take_stored();
     auto founders = std::vector<member_id>();
@@ -342,6 +343,10 @@
             if (at >= self->next_supervision_) {
                 self->next_supervision_ = at + supervision_interval;
                 self->supervisor_.tick(at, self->directory_);
+                self->tell_leader(at);
+                if (!self->proxies_.empty()) {
+                    self->positions_.tick(at, self->directory_);
+                }
                 self->save_servers(at);
             }
         });
@@ -443,6 +448,14 @@
     -> void
 {
     implementation_->supervisor().supervise(group, count);
+    implementation_->positions().watch(group);
+}
+
+auto configuration_node::on_position(
+    const group_id& group, time_point asked_at,
+    const std::optional<log_position>& position) -> void
+{
+    implementation_->positions().on_position(group, asked_at, position);
 }
 
 auto configuration_node::fencing_token() const -> std::optional<std::uint64_t>
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_SRC_TRANSPORT_CONFIGURATION_NODE_IMPLEMENTATION_HPP
 
 #include <rhubarbrun/coordination/consensus.hpp>
+#include <rhubarbrun/coordination/sighting_digest.hpp>
 #include <rhubarbrun/protocol/view_messages.hpp>
 #include <rhubarbrun/transport/configuration_node.hpp>
 #include <rhubarbrun/transport/log_files.hpp>
@@ -37,6 +38,7 @@
     auto withdraw(const target_id& server) -> void;
 
     auto supervisor() -> primary_supervisor& { return supervisor_; }
+    auto positions() -> position_watch& { return positions_; }
 
     [[nodiscard]] auto fencing_token() const -> std::optional<std::uint64_t>
     {
@@ -104,7 +106,11 @@
     auto save_servers(time_point now) -> void;
     auto tell_configuration() -> void;
     [[nodiscard]] auto proxy_count() const -> std::uint32_t;
-    auto send_update(link_id link, subscriber& to) -> void;
+    /// `answered` is the number of the request, 0 if there is none.
+    auto send_update(link_id link, subscriber& to, std::uint64_t answered)
+        -> void;
+    /// Passes on what this member's proxies see of the servers.
+    auto tell_leader(time_point now) -> void;
     auto push_updates() -> void;
     [[nodiscard]] auto is_current() const -> bool;
     [[nodiscard]] auto member_names() const -> std::vector<std::string>;
@@ -129,6 +135,9 @@
     configuration_history history_;
     server_directory directory_;
     primary_supervisor supervisor_;
+    position_watch positions_;
+    /// What proxies told while another member leads.
+    sighting_digest digest_;
     std::map<link_id, subscriber> proxies_;
     /// What the other members told last, and when.
     std::map<std::string, std::pair<proxy_census, time_point>> census_;
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -17,6 +17,41 @@
 /// The file of known servers is written at most this often.
 constexpr auto cache_interval = milliseconds(250);
 
+auto to_sightings(const std::vector<sighting_record>& records)
+    -> std::vector<server_sighting>
+{
+    auto sightings = std::vector<server_sighting>();
+    for (const auto& each : records) {
+        auto sighting = server_sighting{};
+        sighting.server = each.server;
+        if (each.answered_ago_ms >= 0) {
+            sighting.answered_ago = milliseconds(each.answered_ago_ms);
+        }
+        if (each.failing_for_ms >= 0) {
+            sighting.failing_for = milliseconds(each.failing_for_ms);
+        }
+        sightings.push_back(std::move(sighting));
+    }
+    return sightings;
+}
+
+auto to_records(const std::vector<server_sighting>& sightings)
+    -> std::vector<sighting_record>
+{
+    auto records = std::vector<sighting_record>();
+    for (const auto& each : sightings) {
+        auto record = sighting_record{each.server};
+        if (each.answered_ago) {
+            record.answered_ago_ms = to_milliseconds(*each.answered_ago);
+        }
+        if (each.failing_for) {
+            record.failing_for_ms = to_milliseconds(*each.failing_for);
+        }
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
 } // namespace
 
 auto configuration_node::implementation::connect(const std::string& address)
@@ -145,31 +180,34 @@
 {
     auto& to = proxies_[link.id];
     to.configuration_version = request.configuration_version;
-    send_update(link.id, to);
+    send_update(link.id, to, request.number);
     if (member_->is_leader()) {
         on_report(request.report);
-    } else if (const auto known = leader()) {
-        links_.send({peer_role::control, *known}, message_type::sighting_report,
-                    encode(request.report));
+        return;
     }
+    const auto now = steady_now();
+    digest_.add(now, request.report.observer,
+                to_sightings(request.report.sightings));
+    tell_leader(now);
 }
 
 auto configuration_node::implementation::on_report(
     const sighting_report& report) -> void
 {
-    auto sightings = std::vector<server_sighting>();
-    for (const auto& each : report.sightings) {
-        auto sighting = server_sighting{};
-        sighting.server = each.server;
-        if (each.answered_ago_ms >= 0) {
-            sighting.answered_ago = milliseconds(each.answered_ago_ms);
-        }
-        if (each.failing_for_ms >= 0) {
-            sighting.failing_for = milliseconds(each.failing_for_ms);
-        }
-        sightings.push_back(std::move(sighting));
+    supervisor_.on_sightings(steady_now(), report.observer,
+                             to_sightings(report.sightings));
+}
+
+auto configuration_node::implementation::tell_leader(time_point now) -> void
+{
+    const auto known = leader();
+    if (member_->is_leader() || !known || !digest_.is_due(now)) {
+        return;
     }
-    supervisor_.on_sightings(steady_now(), report.proxy, sightings);
+    const auto report =
+        sighting_report{options_.address, to_records(digest_.take(now))};
+    links_.send({peer_role::control, *known}, message_type::sighting_report,
+                encode(report));
 }
 
 auto configuration_node::implementation::is_current() const -> bool
@@ -180,9 +218,12 @@
 }
 
 auto configuration_node::implementation::send_update(link_id link,
-                                                     subscriber& to) -> void
+                                                     subscriber& to,
+                                                     std::uint64_t answered)
+    -> void
 {
     auto update = view_update{};
+    update.answers = answered;
     update.is_current = is_current();
     update.configuration_version = history_.newest().version;
     if (to.configuration_version < history_.newest().version) {
@@ -199,6 +240,13 @@
         update.control_members.push_back({name, region});
     }
     update.proxies = proxy_count();
+    if (answered > 0) {
+        const auto now = steady_now();
+        for (const auto& each : positions_.observations(now)) {
+            const auto age = to_milliseconds(now - each.asked_at) + 1;
+            update.positions.push_back({each.group, each.position, age});
+        }
+    }
     links_.send(link, message_type::view_update, encode(update));
 }
 
@@ -228,7 +276,7 @@
         if (to.directory_revision < directory_.revision() ||
             to.configuration_version < history_.newest().version)
         {
-            send_update(link, to);
+            send_update(link, to, 0);
         }
     }
 }
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -4,7 +4,9 @@
 #include <rhubarbrun/transport/worker_pool.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <utility>
 
 namespace rhubarbrun::inline v1 {
@@ -17,6 +19,8 @@
 /// Time for a member to accept a link, with several round trips between
 /// regions.
 constexpr auto link_patience = milliseconds(300);
+/// Answers to older requests than these tell no positions.
+constexpr auto requests_remembered = std::size_t{4};
 /// A member of another region is left for one of the own region at most this
 /// often.
 constexpr auto return_interval = std::chrono::seconds(10);
@@ -73,6 +77,11 @@
             return;
         }
         auto message = view_request{};
+        message.number = ++last_request_;
+        requested_at_[message.number] = steady_now();
+        if (requested_at_.size() > requests_remembered) {
+            requested_at_.erase(requested_at_.begin());
+        }
         message.configuration_version = hooks_.configuration_version();
         message.report = {options_.address, hooks_.sightings()};
         links_.send(*link_, message_type::view_request, encode(message));
@@ -121,10 +130,26 @@
         if (!update->control_members.empty()) {
             members_ = update->control_members;
         }
+        tell_positions(*update);
         hooks_.on_update(std::move(*update));
         return_to_region();
     }
 
+    /// The answer left its sender after the request was sent here, so that
+    /// counting an observation's age back from then makes it no younger.
+    auto tell_positions(const view_update& update) -> void
+    {
+        const auto asked = requested_at_.find(update.answers);
+        if (asked == requested_at_.end() || !hooks_.on_position) {
+            return;
+        }
+        for (const auto& each : update.positions) {
+            hooks_.on_position(each.group,
+                               asked->second - milliseconds(each.asked_ago_ms),
+                               each.position);
+        }
+    }
+
     /// Whether a member is known to be in the region of this process.
     [[nodiscard]] auto is_near(const std::string& address) const -> bool
     {
@@ -222,6 +247,9 @@
     time_point followed_since_;
     std::optional<time_point> current_at_;
     std::size_t attempts_ = 0;
+    std::uint64_t last_request_ = 0;
+    /// When the latest requests were sent, by number.
+    std::map<std::uint64_t, time_point> requested_at_;
     time_point next_return_;
     bool is_followed_current_ = false;
     bool is_stopped_ = false;
--- /dev/null
+++ b/tests/coordination/position_watch_test.cpp
@@ -0,0 +1,127 @@
+#include <rhubarbrun/coordination/position_watch.hpp>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rhubarbrun_tests {
+
+using namespace rhubarbrun;
+
+namespace {
+
+/// A watch over the group "g", whose primary is "p".
+class watched_primary
+{
+public:
+    watched_primary()
+        : watch([this](const server_record& server, time_point asked_at) {
+              asked.emplace_back(server.id.value(), asked_at);
+          })
+    {
+        watch.watch(group_id("g"));
+        announce("p", server_role::primary);
+        announce("r", server_role::replica);
+    }
+
+    auto announce(const std::string& name, server_role role) -> void
+    {
+        auto record = server_record{};
+        record.id = target_id(name);
+        record.group = group_id("g");
+        record.address = name;
+        record.role = role;
+        record.sequence = ++sequence_;
+        directory.merge(now, record);
+    }
+
+    auto pass(duration length) -> void
+    {
+        for (const auto end = now + length; now < end;) {
+            now += milliseconds(50);
+            watch.tick(now, directory);
+        }
+    }
+
+    auto answer(time_point asked_at, std::uint64_t at_term,
+                std::uint64_t offset) -> void
+    {
+        watch.on_position(group_id("g"), asked_at,
+                          log_position{term(at_term), log_offset(offset)});
+    }
+
+    time_point now = time_point(std::chrono::seconds(100));
+    server_directory directory;
+    std::vector<std::pair<std::string, time_point>> asked;
+    position_watch watch;
+
+private:
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+// Pattern: every proxy asks every primary for its position. With more proxies
+// than connections these questions alone took all of them.
+TEST_CASE("position watch: primaries are asked a few times a second, however "
+          "many proxies there are")
+{
+    auto group = watched_primary();
+    for (auto round = 0; round < 20; ++round) {
+        group.pass(milliseconds(50));
+        if (!group.asked.empty()) {
+            group.answer(group.asked.back().second, 1, 10);
+        }
+    }
+    CHECK(group.asked.size() == 3);
+    CHECK(group.asked.front().first == "p");
+}
+
+TEST_CASE("position watch: a late answer counts from when it was asked for")
+{
+    auto group = watched_primary();
+    group.pass(milliseconds(1000));
+    REQUIRE(group.asked.size() == 2);
+    const auto first = group.asked.front().second;
+    group.answer(first, 1, 10);
+    const auto known = group.watch.observations(group.now);
+    REQUIRE(known.size() == 1);
+    CHECK(known.front().asked_at == first);
+    group.pass(milliseconds(600));
+    CHECK(group.asked.size() == 2);
+    group.pass(milliseconds(200));
+    CHECK(group.asked.size() == 3);
+}
+
+TEST_CASE("position watch: neither an earlier term nor an earlier question "
+          "replaces an observation")
+{
+    auto group = watched_primary();
+    group.pass(milliseconds(50));
+    const auto asked_at = group.asked.front().second;
+    group.answer(asked_at + milliseconds(20), 2, 5);
+    group.answer(asked_at + milliseconds(30), 1, 50);
+    group.answer(asked_at, 2, 4);
+    const auto known = group.watch.observations(group.now);
+    REQUIRE(known.size() == 1);
+    CHECK(known.front().position == log_position{term(2), log_offset(5)});
+    CHECK(
+        group.watch.observations(group.now + std::chrono::seconds(6)).empty());
+}
+
+TEST_CASE("position watch: a new primary is asked as soon as it says that it "
+          "leads")
+{
+    auto group = watched_primary();
+    group.pass(milliseconds(100));
+    group.watch.on_position(group_id("g"), group.asked.back().second,
+                            std::nullopt);
+    group.announce("p", server_role::replica);
+    group.announce("r", server_role::primary);
+    group.pass(milliseconds(400));
+    CHECK(group.asked.back().first == "r");
+}
+
+} // namespace rhubarbrun_tests
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -268,6 +268,29 @@
     CHECK(harness.last_reply(caller).is_success());
 }
 
+// Pattern: every proxy keeps a connection to every primary only to ask for its
+// position.
+TEST_CASE("session relay: reads need no question to the primary while control "
+          "tells its position")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("stock");
+    for (auto round = 0; round < 40; ++round) {
+        harness.relay.on_position(
+            harness.now, group_id("g"), harness.now - milliseconds(500),
+            {term(1), log_offset(static_cast<std::uint64_t>(100 + round))});
+        harness.ask(caller, relay_step::read, "item");
+        harness.answer_all();
+        CHECK(harness.last_reply(caller).is_success());
+        harness.pass(milliseconds(500));
+    }
+    CHECK(harness.relay.counters().probes == 0);
+    // Without news the proxy asks by itself, before the limit of 1500 ms.
+    harness.pass(milliseconds(700));
+    harness.ask(caller, relay_step::read, "item");
+    CHECK(harness.relay.counters().probes == 1);
+}
+
 // Pattern: a full server gets ever more connections, which hold none of its
 // slots but starve other processes.
 TEST_CASE("session relay: a full server gets no connections beyond the share")
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -49,6 +49,13 @@
         hooks.on_failure = [](const std::string& reason) {
             FAIL(reason);
         };
+        hooks.ask_position =
+            [this, index = nodes_.size()](const server_record& primary,
+                                          time_point asked_at) {
+                nodes_.at(index)->on_position(
+                    primary.group, asked_at,
+                    log_position{term(1), log_offset(100)});
+            };
         hooks.supervisor.ask_status = [](const server_record&) {
         };
         hooks.supervisor.step_down = [](const server_record&, term) {
@@ -194,4 +201,45 @@
     proxy.stop();
 }
 
+TEST_CASE("configuration node: a proxy learns a primary's position, no younger "
+          "than it is")
+{
+    auto group = loopback_group();
+    auto members = std::vector<configuration_node*>();
+    for (const auto& address : founders) {
+        members.push_back(&group.start(address, founders, true));
+        members.back()->supervise(group_id("g"), 0);
+    }
+    auto primary = server_record{};
+    primary.id = target_id("p");
+    primary.group = group_id("g");
+    primary.role = server_role::primary;
+    primary.sequence = 1;
+    auto learned = std::optional<log_position>();
+    auto proxy = view_client(group.context,
+                             {"127.0.0.9",
+                              "region",
+                              group.port(),
+                              [] { return founders; },
+                              link_key(),
+                              {}},
+                             {[](const view_update&) {},
+                              [] { return std::vector<sighting_record>(); },
+                              [] { return std::uint64_t{0}; },
+                              [&](const group_id& about, time_point asked_at,
+                                  const log_position& position) {
+                                  CHECK(about == group_id("g"));
+                                  CHECK(asked_at < steady_now());
+                                  learned = position;
+                              }});
+    proxy.start();
+    REQUIRE(group.run_until([&] {
+        ++primary.sequence;
+        members.front()->announce(primary);
+        return learned.has_value();
+    }));
+    CHECK(*learned == log_position{term(1), log_offset(100)});
+    proxy.stop();
+}
+
 } // namespace rhubarbrun::test
