coordination: share scarce connections by the servers' refusals

Change: each refusal for the limit halves the time after which idle connections to that server are closed (800 to 100 ms), which grows back slowly. After three refusals in a row and without a connection of its own, a proxy refuses what needs that primary at once, as not run; a retry reaches a proxy that has one.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -43,8 +43,10 @@
     duration surplus_idle_limit = std::chrono::milliseconds(400);
     /// Where the processes outnumber a server's connections, every idle one is
     /// closed after this long: about the pause between two statements of one
-    /// process for one server.
+    /// process for one server. Each refusal by the server for its limit halves
+    /// it down to the shortest, and it grows back while there is none.
     duration scarce_idle_limit = std::chrono::milliseconds(800);
+    duration shortest_idle_limit = std::chrono::milliseconds(100);
 };
 
 /// Which servers a process may use, and its connections to them.
@@ -107,6 +109,11 @@
     [[nodiscard]] auto outage_since(const demand& need) const
         -> std::optional<time_point>;
 
+    /// Whether the primary that the statement needs has just refused several
+    /// connections in a row, and this process has none to it.
+    [[nodiscard]] auto is_out_of_connections(time_point now,
+                                             const demand& need) const -> bool;
+
     auto on_connected(time_point now, connection_id id) -> void;
     auto on_connect_failed(time_point now, connection_id id,
                            connect_failure reason) -> void;
@@ -154,6 +161,11 @@
         std::size_t lagging_refusals = 0;
         time_point full_until;
         time_point no_connections_until;
+        /// Connections in a row that the server refused for its limit.
+        std::size_t limit_refusals = 0;
+        time_point out_of_connections_until;
+        /// Where connections are scarce, idle ones are closed after this long.
+        duration idle_limit;
         /// Up to then the server is too busy for more than the share.
         time_point burst_not_before;
         std::size_t failures = 0;
@@ -179,6 +191,7 @@
     /// This process's part of the server's connections, which may be below 1.
     [[nodiscard]] auto part_of(const server& each) const -> double;
     [[nodiscard]] auto share_of(const server& each) const -> std::size_t;
+    [[nodiscard]] auto has_scarce_connections(const server& each) const -> bool;
     auto close_unused(time_point now, server& each) -> void;
     [[nodiscard]] auto may_open(time_point now, const server& each,
                                 const demand& need) const -> bool;
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -253,8 +253,9 @@
     [[nodiscard]] auto demand_of(const session& caller) const
         -> server_pool::demand;
     /// Refuses a request whose group has been down for longer than a change of
-    /// primary takes; returns whether it did.
-    auto refuse_in_outage(time_point now, session& caller) -> bool;
+    /// primary takes, or that another process can serve while this one gets no
+    /// connection; returns whether it did.
+    auto refuse_if_hopeless(time_point now, session& caller) -> bool;
     /// The error of a request that did not run, with the time after which to
     /// come back.
     [[nodiscard]] auto not_run_reply(time_point now,
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -11,7 +11,12 @@
 constexpr auto first_backoff = milliseconds(150);
 constexpr auto last_backoff = milliseconds(1200);
 /// Pause after a server refused a connection because it has too many.
-constexpr auto connection_limit_pause = milliseconds(300);
+constexpr auto connection_limit_pause = milliseconds(150);
+/// Refusals in a row after which a statement is better sent to a process that
+/// has a connection; with their pauses about half of a second.
+constexpr auto limit_refusals_borne = std::size_t{3};
+/// Statements go elsewhere for this long; then a connection is tried again.
+constexpr auto out_of_connections_time = milliseconds(300);
 /// First and longest time for which a replica that lacks commits of the
 /// staleness limit gets no reads; such a lag lasts for seconds.
 constexpr auto first_lagging_pause = milliseconds(200);
@@ -41,6 +46,10 @@
 /// is being chosen; a replica takes none.
 constexpr auto leaving_primary_time = std::chrono::seconds(5);
 constexpr auto tick_interval = milliseconds(400);
+/// Where idle connections are closed soon.
+constexpr auto scarce_tick_interval = milliseconds(100);
+/// Growth of the idle limit in each such interval without a refusal.
+constexpr auto idle_limit_growth_percentage = 101;
 /// Part of a server's connections that is shared out; the rest is for control
 /// and for connections that a server still holds after their end.
 constexpr auto shared_part = 0.9;
@@ -70,6 +79,8 @@
         !is_restart && each.record.role == server_role::primary;
     each.record = record;
     if (is_restart) {
+        each.idle_limit = options_.scarce_idle_limit;
+        each.limit_refusals = 0;
         each.avoid_until = {};
         each.failures = 0;
         each.failing_since.reset();
@@ -163,6 +174,18 @@
     return since;
 }
 
+auto server_pool::is_out_of_connections(time_point now,
+                                        const demand& need) const -> bool
+{
+    return need.is_primary_needed &&
+           std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+               const auto& known = each.second;
+               return known.record.group == need.group &&
+                      now < known.out_of_connections_until &&
+                      known.open == known.connecting && is_primary(known);
+           });
+}
+
 auto server_pool::base_latency(const server& each) const -> double
 {
     if (each.record.zone == options_.zone) {
@@ -313,6 +336,7 @@
     auto& each = servers_.at(found->second.server);
     --each.connecting;
     each.failures = 0;
+    each.limit_refusals = 0;
     each.failing_since.reset();
     each.answered_at = now;
     found->second.is_idle = true;
@@ -334,6 +358,12 @@
     if (reason == connect_failure::connection_limit) {
         each.no_connections_until = now + connection_limit_pause;
         each.burst_not_before = now + burst_pause;
+        if (++each.limit_refusals >= limit_refusals_borne) {
+            each.limit_refusals = 0;
+            each.out_of_connections_until = now + out_of_connections_time;
+        }
+        each.idle_limit =
+            std::max(options_.shortest_idle_limit, each.idle_limit / 2);
         each.answered_at = now;
         return;
     }
@@ -484,16 +514,26 @@
 
 auto server_pool::tick(time_point now) -> time_point
 {
+    auto is_scarce = false;
     for (auto& [id, each] : servers_) {
         close_unused(now, each);
+        is_scarce |= has_scarce_connections(each);
     }
-    return now + tick_interval;
+    return now + (is_scarce ? scarce_tick_interval : tick_interval);
+}
+
+auto server_pool::has_scarce_connections(const server& each) const -> bool
+{
+    return is_sharers_told_ && part_of(each) < 1;
 }
 
 auto server_pool::close_unused(time_point now, server& each) -> void
 {
-    if (is_sharers_told_ && part_of(each) < 1) {
-        close_idle(now, each, 0, options_.scarce_idle_limit);
+    if (has_scarce_connections(each)) {
+        each.idle_limit = std::clamp(
+            each.idle_limit * idle_limit_growth_percentage / 100,
+            options_.shortest_idle_limit, options_.scarce_idle_limit);
+        close_idle(now, each, 0, each.idle_limit);
     } else {
         close_idle(now, each, 1, options_.idle_limit);
     }
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -147,7 +147,7 @@
         send_current(now, caller, *caller.open->connection, std::nullopt);
         return true;
     }
-    if (refuse_in_outage(now, caller)) {
+    if (refuse_if_hopeless(now, caller)) {
         return true;
     }
     auto need = demand_of(caller);
@@ -177,10 +177,12 @@
     return need;
 }
 
-auto session_relay::refuse_in_outage(time_point now, session& caller) -> bool
+auto session_relay::refuse_if_hopeless(time_point now, session& caller) -> bool
 {
-    const auto since = pool_.outage_since(demand_of(caller));
-    if (!since || now - *since < outage_patience) {
+    const auto need = demand_of(caller);
+    const auto since = pool_.outage_since(need);
+    const auto is_outage = since && now - *since >= outage_patience;
+    if (!is_outage && !pool_.is_out_of_connections(now, need)) {
         return false;
     }
     refuse(now, caller);
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -268,6 +268,49 @@
     CHECK(harness.last_reply(caller).is_success());
 }
 
+// Pattern: more processes than connections, all in use. A statement that waited
+// for a connection until its time was over could have run at another process.
+TEST_CASE("session relay: a statement is refused soon where the primary takes "
+          "no more connections")
+{
+    auto harness = relay_harness();
+    harness.relay.set_sharers(120);
+    harness.refusals["p"] = connect_failure::connection_limit;
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.pass(milliseconds(250));
+    CHECK(harness.replies[caller].empty());
+    harness.pass(milliseconds(250));
+    REQUIRE(harness.replies[caller].size() == 1);
+    CHECK(harness.last_reply(caller).error == relay_error::retry);
+    // Others still try, so that a connection that became free is found.
+    harness.refusals.clear();
+    harness.pass(milliseconds(200));
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer_all();
+    CHECK(harness.last_reply(caller).is_success());
+}
+
+// Pattern: as above; processes that hold idle connections starve the others.
+TEST_CASE(
+    "session relay: idle connections are given back sooner after a server "
+    "refused some")
+{
+    auto harness = relay_harness();
+    harness.relay.set_sharers(120);
+    const auto first = harness.start("orders");
+    const auto second = harness.start("orders");
+    harness.ask(first, relay_step::write, "item data");
+    harness.answer_all();
+    harness.refusals["p"] = connect_failure::connection_limit;
+    harness.ask(first, relay_step::write, "item data");
+    harness.ask(second, relay_step::write, "item data");
+    harness.pass(milliseconds(400));
+    harness.answer_all();
+    harness.pass(milliseconds(600));
+    CHECK(harness.closed_connections.size() == 1);
+}
+
 // Pattern: every proxy keeps a connection to every primary only to ask for its
 // position.
 TEST_CASE("session relay: reads need no question to the primary while control "
