--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -194,6 +194,8 @@
         std::optional<transaction> open;
         std::optional<operation> current;
         std::deque<relay_statement> later;
+        /// Start of the session, or its last answer.
+        time_point quiet_since;
     };
     /// What the next answer on a connection belongs to.
     enum class expectation_kind : std::uint8_t
@@ -237,8 +239,8 @@
         -> void;
     auto start_operation(time_point now, session& caller,
                          relay_statement statement, bool is_read) -> void;
-    auto answer(session& caller, relay_reply reply) -> void;
-    auto answer_locally(session& caller) -> void;
+    auto answer(time_point now, session& caller, relay_reply reply) -> void;
+    auto answer_locally(time_point now, session& caller) -> void;
     auto answer_error(time_point now, session& caller, relay_error error,
                       std::string_view text) -> void;
     auto finish(time_point now, session& caller, relay_reply reply) -> void;
@@ -315,6 +317,10 @@
     auto tick_sessions(time_point now) -> void;
     auto tick_connections(time_point now) -> void;
     auto tick_drain(time_point now) -> void;
+    /// Whether a shutdown has come so far that sessions are closed.
+    [[nodiscard]] auto is_closing_sessions(time_point now) const -> bool;
+    [[nodiscard]] auto may_close(time_point now, const session& caller) const
+        -> bool;
 
     relay_hooks hooks_;
     server_pool pool_;
@@ -332,6 +338,8 @@
     time_point next_sweep_;
     time_point next_pool_tick_;
     std::optional<time_point> draining_since_;
+    /// Sessions that got an answer while sessions are closed.
+    std::set<session_id> answered_in_drain_;
     duration grace_ = duration::zero();
 };
 
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -48,12 +48,13 @@
     return {configuration_, configuration_->find(database)};
 }
 
-auto session_relay::start_session(time_point /*now*/, session_id id,
+auto session_relay::start_session(time_point now, session_id id,
                                   database_id database) -> void
 {
     auto& caller = sessions_[id];
     caller.id = id;
     caller.database = std::move(database);
+    caller.quiet_since = now;
 }
 
 auto session_relay::end_session(time_point now, session_id id) -> void
@@ -119,16 +120,16 @@
     switch (statement.step) {
     case relay_step::set_value:
         caller.values[statement.name] = statement.text;
-        answer_locally(caller);
+        answer_locally(now, caller);
         return;
     case relay_step::prepare:
         caller.prepared[statement.name] = {statement.is_read_only,
                                            statement.text};
-        answer_locally(caller);
+        answer_locally(now, caller);
         return;
     case relay_step::deallocate:
         caller.prepared.erase(statement.name);
-        answer_locally(caller);
+        answer_locally(now, caller);
         return;
     case relay_step::read:
     case relay_step::write:
@@ -159,7 +160,7 @@
     opened.is_read_only = statement.is_read_only;
     opened.arrived = opened.used_at = now;
     caller.open = std::move(opened);
-    answer_locally(caller);
+    answer_locally(now, caller);
 }
 
 auto session_relay::commit(time_point now, session& caller,
@@ -185,7 +186,7 @@
         detach(now, caller);
         caller.open.reset();
     }
-    answer_locally(caller);
+    answer_locally(now, caller);
 }
 
 auto session_relay::run(time_point now, session& caller,
@@ -236,20 +237,25 @@
                                   : transaction_status::in_transaction;
 }
 
-auto session_relay::answer(session& caller, relay_reply reply) -> void
+auto session_relay::answer(time_point now, session& caller, relay_reply reply)
+    -> void
 {
     reply.status = status_of(caller);
     if (!reply.is_success()) {
         ++counters_.errors.at(static_cast<std::size_t>(reply.error));
     }
+    caller.quiet_since = now;
+    if (is_closing_sessions(now)) {
+        answered_in_drain_.insert(caller.id);
+    }
     hooks_.reply(caller.id, reply);
 }
 
-auto session_relay::answer_locally(session& caller) -> void
+auto session_relay::answer_locally(time_point now, session& caller) -> void
 {
     auto reply = relay_reply{};
     reply.detail = "-";
-    answer(caller, std::move(reply));
+    answer(now, caller, std::move(reply));
 }
 
 auto session_relay::answer_error(time_point now, session& caller,
@@ -260,7 +266,7 @@
     reply.error = error;
     reply.detail = text;
     log(now, "refused", caller, {}, error);
-    answer(caller, std::move(reply));
+    answer(now, caller, std::move(reply));
 }
 
 auto session_relay::finish(time_point now, session& caller, relay_reply reply)
@@ -283,7 +289,7 @@
         caller.open->used_at = now;
         caller.open->is_failure_told = caller.open->is_failed;
     }
-    answer(caller, std::move(reply));
+    answer(now, caller, std::move(reply));
     start_next(now, caller);
 }
 
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -16,6 +16,9 @@
 /// A load balancer takes this long to notice that a process is not ready: two
 /// probes a second apart, and some margin.
 constexpr auto balancer_notice = milliseconds(2300);
+/// A session without a request for this long is not about to send one, so that
+/// closing it is unlikely to cross a request.
+constexpr auto quiet_time = milliseconds(500);
 
 } // namespace
 
@@ -60,7 +63,7 @@
     if (!expiries_.empty()) {
         due = std::min(due, expiries_.begin()->first);
     }
-    return due;
+    return answered_in_drain_.empty() ? due : std::min(due, now);
 }
 
 auto session_relay::tick_sessions(time_point now) -> void
@@ -104,19 +107,36 @@
     }
 }
 
+auto session_relay::is_closing_sessions(time_point now) const -> bool
+{
+    return draining_since_ && now - *draining_since_ >= balancer_notice;
+}
+
+auto session_relay::may_close(time_point now, const session& caller) const
+    -> bool
+{
+    if (caller.current || !caller.later.empty()) {
+        return false;
+    }
+    if (now - *draining_since_ >= grace_ / 2) {
+        return true;
+    }
+    return !caller.open && (answered_in_drain_.contains(caller.id) ||
+                            now - caller.quiet_since >= quiet_time);
+}
+
 auto session_relay::tick_drain(time_point now) -> void
 {
-    const auto elapsed = now - *draining_since_;
-    if (elapsed < balancer_notice) {
+    if (!is_closing_sessions(now)) {
         return;
     }
     auto finished = std::vector<session_id>();
-    for (auto& [id, caller] : sessions_) {
-        const auto is_idle = !caller.current && caller.later.empty();
-        if (is_idle && (!caller.open || elapsed >= grace_ / 2)) {
+    for (const auto& [id, caller] : sessions_) {
+        if (may_close(now, caller)) {
             finished.push_back(id);
         }
     }
+    answered_in_drain_.clear();
     for (const auto& id : finished) {
         end_session(now, id);
         hooks_.close_session(id);
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -232,6 +232,44 @@
     CHECK(harness.closed.size() == 2);
 }
 
+// Pattern: callers that ask again and again while a proxy shuts down. A close
+// between two requests crossed the next one, whose fate its caller cannot know.
+TEST_CASE("session relay: a drain closes a busy session right after an answer")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.relay.drain(harness.now, milliseconds(6000));
+    for (auto round = 0; round < 23; ++round) {
+        harness.pass(milliseconds(95));
+        harness.ask(caller, relay_step::write, "item data");
+        harness.pass(milliseconds(5));
+        CHECK(harness.closed.empty());
+        harness.answer_all();
+        CHECK(harness.last_reply(caller).is_success());
+    }
+    // The last answer came after the balancer's notice.
+    CHECK(harness.relay.next_due(harness.now) == harness.now);
+    harness.pass(milliseconds(1));
+    CHECK(harness.closed == std::vector<session_id>{caller});
+}
+
+TEST_CASE(
+    "session relay: a drain spares a session that has just begun until its "
+    "request came")
+{
+    auto harness = relay_harness();
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(2250));
+    const auto late = harness.start("orders");
+    harness.pass(milliseconds(300));
+    CHECK(harness.closed.empty());
+    harness.ask(late, relay_step::write, "item data");
+    harness.answer_all();
+    CHECK(harness.last_reply(late).is_success());
+    harness.pass(milliseconds(5));
+    CHECK(harness.closed == std::vector<session_id>{late});
+}
+
 // Pattern: connection hoarding after a burst. Processes that held more than
 // their share of a primary's connections kept them, and others were refused.
 TEST_CASE("session relay: connections beyond the share are given back")
