coordination: pace statements for full servers, newest first in overload

Cause: while all replicas of a group lag, its primary alone serves reads. Change: a full server gets nothing from a proxy for 20 ms, doubled by each further refusal up to 160 ms, and then a window of statements that halves with each refusal and grows with each answer. While the primary is full, waiting requests of a priority are served newest first, and one that has waited for half of its objective is refused as not run.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -109,6 +109,10 @@
     [[nodiscard]] auto outage_since(const demand& need) const
         -> std::optional<time_point>;
 
+    /// Whether every server that may take the statement is full.
+    [[nodiscard]] auto is_full(time_point now, const demand& need) const
+        -> bool;
+
     /// Whether the primary that the statement needs has just refused several
     /// connections in a row, and this process has none to it.
     [[nodiscard]] auto is_out_of_connections(time_point now,
@@ -129,6 +133,8 @@
     auto on_lagging(time_point now, const target_id& id) -> void;
     /// The server refused a statement because it is full.
     auto on_full(time_point now, const target_id& id) -> void;
+    /// The server ran a statement.
+    auto on_served(connection_id id) -> void;
     /// The connection is free again.
     auto release(time_point now, connection_id id) -> void;
     /// The connection is gone or must be closed by the caller.
@@ -142,6 +148,8 @@
     [[nodiscard]] auto health() const -> std::vector<server_health>;
 
 private:
+    static constexpr auto unlimited_window = std::size_t{1000};
+
     struct server
     {
         server_record record;
@@ -159,7 +167,12 @@
         time_point lagging_until;
         /// Refusals for lag in a row.
         std::size_t lagging_refusals = 0;
+        /// Up to then nothing is sent to a full server.
         time_point full_until;
+        /// Refusals by the full server in a row.
+        std::size_t full_refusals = 0;
+        /// Statements that may run at a time.
+        std::size_t window = unlimited_window;
         time_point no_connections_until;
         /// Connections in a row that the server refused for its limit.
         std::size_t limit_refusals = 0;
@@ -185,6 +198,9 @@
 
     [[nodiscard]] auto may_use(time_point now, const server& each,
                                const demand& need) const -> bool;
+    /// Whether the server takes no further statement of this process now.
+    [[nodiscard]] static auto has_no_room(time_point now, const server& each)
+        -> bool;
     [[nodiscard]] auto score(time_point now, const server& each,
                              bool is_primary_needed) const -> double;
     [[nodiscard]] auto base_latency(const server& each) const -> double;
@@ -202,6 +218,7 @@
     auto close_idle(time_point now, server& each, std::size_t kept,
                     duration older_than) -> void;
     [[nodiscard]] auto is_primary(const server& each) const -> bool;
+    [[nodiscard]] auto rank(time_point now, const demand& need) -> ranking;
     auto fail(time_point now, server& each) -> void;
 
     server_pool_options options_;
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -255,8 +255,9 @@
     [[nodiscard]] auto demand_of(const session& caller) const
         -> server_pool::demand;
     /// Refuses a request whose group has been down for longer than a change of
-    /// primary takes, or that another process can serve while this one gets no
-    /// connection; returns whether it did.
+    /// primary takes, that another process can serve while this one gets no
+    /// connection, or that has waited for full servers for too long; returns
+    /// whether it did.
     auto refuse_if_hopeless(time_point now, session& caller) -> bool;
     /// The error of a request that did not run, with the time after which to
     /// come back.
@@ -266,6 +267,10 @@
     auto refuse(time_point now, session& caller) -> void;
     auto stop_waiting(const session& caller) -> void;
     auto serve_waiting(time_point now, const group_id& group) -> void;
+    /// Waiting requests of a group in the order in which they are served.
+    [[nodiscard]] auto waiting_order(time_point now,
+                                     const group_id& group) const
+        -> std::vector<waiting_key>;
     [[nodiscard]] auto needs_primary(const session& caller) const -> bool;
     [[nodiscard]] auto required_position(time_point now, session& caller)
         -> std::optional<log_position>;
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -21,8 +21,10 @@
 /// staleness limit gets no reads; such a lag lasts for seconds.
 constexpr auto first_lagging_pause = milliseconds(200);
 constexpr auto last_lagging_pause = milliseconds(800);
-/// Time in which a full server works off part of its queue.
-constexpr auto full_pause = milliseconds(40);
+/// First and longest pause after a full server refused a statement: part of the
+/// time in which it works off its queue.
+constexpr auto first_full_pause = milliseconds(20);
+constexpr auto last_full_pause = milliseconds(160);
 /// Round trips and work of a statement, by distance, before there are samples.
 constexpr auto same_zone_latency_us = 15'000.0;
 constexpr auto same_region_latency_us = 17'000.0;
@@ -215,9 +217,6 @@
     if (!is_primary_needed && is_primary(each)) {
         result *= primary_read_penalty;
     }
-    if (now < each.full_until) {
-        result += other_region_latency_us * 2;
-    }
     return result;
 }
 
@@ -252,8 +251,7 @@
            each.connecting < at_once && now >= each.no_connections_until;
 }
 
-auto server_pool::choose(time_point now, const demand& need)
-    -> std::optional<connection_id>
+auto server_pool::rank(time_point now, const demand& need) -> ranking
 {
     auto ranked = ranking();
     for (auto& [id, each] : servers_) {
@@ -269,6 +267,16 @@
               [](const auto& left, const auto& right) {
                   return left.first < right.first;
               });
+    std::erase_if(ranked, [&](const auto& each) {
+        return has_no_room(now, *each.second);
+    });
+    return ranked;
+}
+
+auto server_pool::choose(time_point now, const demand& need)
+    -> std::optional<connection_id>
+{
+    const auto ranked = rank(now, need);
     const auto idle =
         std::find_if(ranked.begin(), ranked.end(), [](const auto& each) {
             return !each.second->idle.empty();
@@ -447,10 +455,55 @@
 
 auto server_pool::on_full(time_point now, const target_id& id) -> void
 {
-    if (const auto found = servers_.find(id); found != servers_.end()) {
-        found->second.full_until = now + full_pause;
-        found->second.burst_not_before = now + burst_pause;
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    auto& each = found->second;
+    each.burst_not_before = now + burst_pause;
+    if (now < each.full_until) {
+        // It was sent before the pause began.
+        return;
+    }
+    each.full_until =
+        now + std::min<duration>(first_full_pause *
+                                     (std::int64_t{1} << std::min<std::size_t>(
+                                          each.full_refusals, 3)),
+                                 last_full_pause);
+    ++each.full_refusals;
+    each.window =
+        std::max<std::size_t>(1, std::min(each.window, each.busy) / 2);
+}
+
+auto server_pool::on_served(connection_id id) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    each.full_refusals = 0;
+    each.window = std::min(each.window + 1, unlimited_window);
+}
+
+auto server_pool::has_no_room(time_point now, const server& each) -> bool
+{
+    return now < each.full_until || each.busy >= each.window;
+}
+
+auto server_pool::is_full(time_point now, const demand& need) const -> bool
+{
+    auto is_any = false;
+    for (const auto& [id, each] : servers_) {
+        if (!may_use(now, each, need) || now < each.lagging_until) {
+            continue;
+        }
+        if (!has_no_room(now, each)) {
+            return false;
+        }
+        is_any = true;
     }
+    return is_any;
 }
 
 auto server_pool::release(time_point now, connection_id id) -> void
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -61,9 +61,7 @@
     if (found == waiting_.end() || found->second.empty()) {
         return;
     }
-    const auto keys =
-        std::vector<waiting_key>(found->second.begin(), found->second.end());
-    for (const auto& key : keys) {
+    for (const auto& key : waiting_order(now, group)) {
         const auto caller = sessions_.find(std::get<session_id>(key));
         if (caller == sessions_.end() || !found->second.contains(key)) {
             continue;
@@ -74,6 +72,28 @@
     }
 }
 
+auto session_relay::waiting_order(time_point now, const group_id& group) const
+    -> std::vector<waiting_key>
+{
+    const auto& waiting = waiting_.at(group);
+    auto keys = std::vector<waiting_key>(waiting.begin(), waiting.end());
+    auto need = server_pool::demand{};
+    need.group = group;
+    need.is_primary_needed = true;
+    if (pool_.is_full(now, need)) {
+        // In the order of arrival every request would wait until its objective
+        // is missed.
+        std::sort(keys.begin(), keys.end(),
+                  [](const auto& left, const auto& right) {
+                      return std::tuple(std::get<0>(left), std::get<1>(right),
+                                        std::get<2>(right)) <
+                             std::tuple(std::get<0>(right), std::get<1>(left),
+                                        std::get<2>(left));
+                  });
+    }
+    return keys;
+}
+
 auto session_relay::needs_primary(const session& caller) const -> bool
 {
     const auto& current = *caller.current;
@@ -182,7 +202,12 @@
     const auto need = demand_of(caller);
     const auto since = pool_.outage_since(need);
     const auto is_outage = since && now - *since >= outage_patience;
-    if (!is_outage && !pool_.is_out_of_connections(now, need)) {
+    const auto& current = *caller.current;
+    const auto has_waited_long =
+        now - current.arrived > current.route.route->latency_objective / 2;
+    if (!is_outage && !pool_.is_out_of_connections(now, need) &&
+        !(has_waited_long && pool_.is_full(now, need)))
+    {
         return false;
     }
     refuse(now, caller);
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -215,7 +215,9 @@
     }
     ++counters_.sent_elsewhere;
     log(now, "sent_elsewhere", caller, server, cause);
-    if (!needs_primary(caller)) {
+    if (cause == relay_error::retry) {
+        // The pool sends nothing to the full server for a while.
+    } else if (!needs_primary(caller)) {
         current.excluded.insert(server);
         auto need = demand_of(caller);
         need.excluded = &current.excluded;
@@ -235,8 +237,11 @@
                                      connection_id id, const expectation& asked,
                                      relay_reply reply) -> void
 {
-    if (caller.current->is_read && reply.is_success()) {
-        pool_.on_answer(now, id, now - asked.sent);
+    if (reply.is_success()) {
+        pool_.on_served(id);
+        if (caller.current->is_read) {
+            pool_.on_answer(now, id, now - asked.sent);
+        }
     }
     if (caller.open) {
         on_transaction_reply(now, caller, id, asked, std::move(reply));
