transport: never wait for the reader of the log

Cause: glog wrote to standard output blocking, so that a full pipe stopped the process, and a closed one ended it by SIGPIPE.

--- a/include/rhubarbrun/transport/event_log.hpp
+++ b/include/rhubarbrun/transport/event_log.hpp
@@ -23,11 +23,15 @@
     standard_output,
 };
 
-/// Sends glog's output there; call once, first in `main`.
+/// Sends the log there, without ever waiting for a reader, and ignores SIGPIPE;
+/// call once, first in `main`.
 auto start_event_log(const char* program,
                      event_log_output output = event_log_output::standard_error)
     -> void;
 
+/// Lines that were dropped because their reader was too slow.
+[[nodiscard]] auto dropped_log_lines() -> std::uint64_t;
+
 /// One log line `event=<name> key=value ...`, written when it goes out of
 /// scope. Values with spaces, quotes or control characters are quoted and
 /// escaped. Never pass statement text or secrets.
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -1,10 +1,13 @@
 #include <rhubarbrun/transport/event_log.hpp>
+#include <rhubarbrun/transport/line_writer.hpp>
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <cstdio>
+#include <csignal>
 #include <iomanip>
+#include <memory>
 
 namespace rhubarbrun::inline v1 {
 
@@ -38,20 +41,56 @@
     return out.str();
 }
 
+/// Passes glog's lines on without waiting for whoever reads them.
+class unblocked_sink : public google::LogSink
+{
+public:
+    explicit unblocked_sink(int descriptor) : writer_(descriptor) {}
+
+    auto send(google::LogSeverity severity, const char* /*full_filename*/,
+              const char* base_filename, int line,
+              const google::LogMessageTime& at, const char* message,
+              std::size_t length) -> void override
+    {
+        writer_.write(
+            ToString(severity, base_filename, line, at, message, length));
+    }
+
+    [[nodiscard]] auto dropped() const -> std::uint64_t
+    {
+        return writer_.dropped();
+    }
+
+private:
+    line_writer writer_;
+};
+
+/// Lives until the process ends, as threads may log until then.
+auto sink() -> std::unique_ptr<unblocked_sink>&
+{
+    static auto instance = std::unique_ptr<unblocked_sink>();
+    return instance;
+}
+
 } // namespace
 
 auto start_event_log(const char* program, event_log_output output) -> void
 {
-    if (output == event_log_output::standard_output) {
-        // Otherwise a killed process takes its last lines with it.
-        std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
-        FLAGS_logtostdout = true;
-    } else {
-        FLAGS_logtostderr = true;
-    }
+    // A reader that went away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    sink() = std::make_unique<unblocked_sink>(
+        output == event_log_output::standard_output ? STDOUT_FILENO
+                                                    : STDERR_FILENO);
+    // The sink writes everything that glog would otherwise.
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
     google::InitGoogleLogging(program);
 }
 
+auto dropped_log_lines() -> std::uint64_t
+{
+    return sink() ? sink()->dropped() : 0;
+}
+
 log_event::log_event(std::string_view name, event_severity severity)
     : line_("event="), severity_(severity)
 {
@@ -60,16 +99,16 @@
 
 log_event::~log_event()
 {
-    switch (severity_) {
-    case event_severity::information:
-        LOG(INFO) << line_;
-        break;
-    case event_severity::warning:
-        LOG(WARNING) << line_;
-        break;
-    case event_severity::error:
-        LOG(ERROR) << line_;
-        break;
+    const auto severity =
+        severity_ == event_severity::error     ? google::GLOG_ERROR
+        : severity_ == event_severity::warning ? google::GLOG_WARNING
+                                               : google::GLOG_INFO;
+    if (sink()) {
+        google::LogMessage(__FILE__, __LINE__, severity, sink().get(), false)
+                .stream()
+            << line_;
+    } else {
+        google::LogMessage(__FILE__, __LINE__, severity).stream() << line_;
     }
 }
 
