--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -221,8 +221,8 @@
                                 const reply& got, const std::string& shape)
     -> void
 {
-    const auto* const run = ledger_.find(id);
-    if (run == nullptr || run->proof != got.proof || run->rows != got.rows) {
+    const auto* const run = ledger_.find(id, got.proof);
+    if (run == nullptr || run->rows != got.rows) {
         ledger_.fail("MIXED", "wrong signature or rows: " + id);
         return;
     }
@@ -232,7 +232,8 @@
 }
 
 auto soak_caller::check_read(const session& open, const std::string& id,
-                             time_point first_byte) -> void
+                             const std::string& proof, time_point first_byte)
+    -> void
 {
     auto required = soak_ledger::required{};
     required.group = route_.group;
@@ -244,7 +245,7 @@
     if (route_.kind == route_kind::read_your_writes) {
         required.own_before = first_byte;
     }
-    ledger_.check_read(id, required);
+    ledger_.check_read(id, proof, required);
 }
 
 auto soak_caller::conclude(const session& /*open*/, const reply& got,
@@ -284,7 +285,7 @@
     if (got.is_success) {
         check_success(open, id, got, shape);
         if (is_read) {
-            check_read(open, id, first_byte);
+            check_read(open, id, got.proof, first_byte);
         } else {
             ledger_.acknowledged(attempt, steady_now());
         }
@@ -317,9 +318,9 @@
         }
         check_success(open, id, got, {});
         if (is_read) {
-            check_read(open, id, first_byte);
+            check_read(open, id, got.proof, first_byte);
         }
-        if (const auto* const run = ledger_.find(id)) {
+        if (const auto* const run = ledger_.find(id, got.proof)) {
             const auto here = std::pair(run->server, run->connection);
             if (connection.value_or(here) != here) {
                 ledger_.fail("PINNED", "another connection: " + id);
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -84,7 +84,7 @@
     auto check_success(const session& open, const std::string& id,
                        const reply& got, const std::string& shape) -> void;
     auto check_read(const session& open, const std::string& id,
-                    time_point first_byte) -> void;
+                    const std::string& proof, time_point first_byte) -> void;
     auto conclude(const session& open, const reply& got,
                   const std::string& attempt) -> void;
     [[nodiscard]] auto next_id() -> std::string;
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -76,7 +76,9 @@
     const auto endpoint = [&](std::uint16_t port) {
         return '"' + node.address + ':' + std::to_string(port) + '"';
     };
-    auto file = std::ofstream(node.settings, std::ios::trunc);
+    // A process that starts meanwhile must find the former file or the new one.
+    const auto written = std::filesystem::path(node.settings.string() + ".new");
+    auto file = std::ofstream(written, std::ios::trunc);
     file << "nodeName = \"" << node.name << "\"\nip = \"" << node.address
          << "\"\nzone = \"" << zones.at(place) << "\"\nregion = \""
          << regions.at(place) << "\"\ninternalPorts = [" << ports_.peers()
@@ -98,6 +100,8 @@
     }
     file << "[cloud]\naddress = \"127.0.0.1:" << ports_.promotions() << "\"\n"
          << settings_tail;
+    file.close();
+    std::filesystem::rename(written, node.settings);
 }
 
 auto soak_cluster::start_all() -> void
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -19,13 +19,25 @@
     if (asked == sent_.end() || asked->second != what.text) {
         fail("UNASKED", what.server + " ran " + id + ": " + what.text);
     }
-    executions_[id] = std::move(what);
+    executions_[id].push_back(std::move(what));
 }
 
-auto soak_ledger::find(const std::string& id) const -> const execution*
+auto soak_ledger::has_run(const std::string& id) const -> bool
 {
-    const auto found = executions_.find(id);
-    return found == executions_.end() ? nullptr : &found->second;
+    return executions_.contains(id);
+}
+
+auto soak_ledger::find(const std::string& id, const std::string& proof) const
+    -> const execution*
+{
+    const auto runs = executions_.find(id);
+    if (runs == executions_.end()) {
+        return nullptr;
+    }
+    const auto found =
+        std::find_if(runs->second.begin(), runs->second.end(),
+                     [&](const auto& each) { return each.proof == proof; });
+    return found == runs->second.end() ? nullptr : &*found;
 }
 
 auto soak_ledger::committed(const std::shared_ptr<commit>& each) -> void
@@ -80,10 +92,10 @@
     asked_.insert(attempt);
 }
 
-auto soak_ledger::check_read(const std::string& id, const required& what)
-    -> void
+auto soak_ledger::check_read(const std::string& id, const std::string& proof,
+                             const required& what) -> void
 {
-    const auto* const run = find(id);
+    const auto* const run = find(id, proof);
     if (run == nullptr) {
         fail("MIXED", "answered without a run: " + id);
         return;
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -56,7 +56,11 @@
     auto sent(const std::string& id, const std::string& text) -> void;
     /// A server ran the statement of this id.
     auto ran(const std::string& id, execution what) -> void;
-    [[nodiscard]] auto find(const std::string& id) const -> const execution*;
+    [[nodiscard]] auto has_run(const std::string& id) const -> bool;
+    /// The run with this signature, or null. A read whose connection was lost
+    /// may have run at a second server.
+    [[nodiscard]] auto find(const std::string& id,
+                            const std::string& proof) const -> const execution*;
 
     /// A server committed the writes of an attempt.
     auto committed(const std::shared_ptr<commit>& each) -> void;
@@ -77,7 +81,8 @@
         /// The session's own ones acknowledged before this; no value for none.
         std::optional<time_point> own_before;
     };
-    auto check_read(const std::string& id, const required& what) -> void;
+    auto check_read(const std::string& id, const std::string& proof,
+                    const required& what) -> void;
 
     auto fail(const std::string& rule, const std::string& text) -> void;
     auto note(const std::string& text) -> void;
@@ -92,7 +97,7 @@
 
     std::string label_;
     std::map<std::string, std::string> sent_;
-    std::map<std::string, execution> executions_;
+    std::map<std::string, std::vector<execution>> executions_;
     std::map<std::string, std::vector<std::shared_ptr<commit>>> commits_;
     std::map<std::string, std::vector<std::shared_ptr<commit>>> by_group_;
     std::set<std::string> promised_;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -114,7 +114,7 @@
     const auto on_cut = [this](const asio::ip::tcp::endpoint& proxy,
                                const std::string& id, duration age) {
         // A request that crosses the end of its session is not cut off.
-        const auto is_taken = ledger_.find(id) != nullptr || age > loss_slack;
+        const auto is_taken = ledger_.has_run(id) || age > loss_slack;
         if (is_draining_only_ && is_taken) {
             ledger_.fail("LOST", "cut by an orderly end: " + id + " at " +
                                      proxy.address().to_string());
