coordination, transport: go through another proxy to a primary that is cut off

Cause: while a partition kept some proxies from a primary, their callers were refused, although other proxies reached it. Change: control names proxies that get answers from a server to those that say they cannot reach it. Idle connections are closed when the direct way fails, as each would cost a statement its time.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -3,6 +3,7 @@
 
 #include <rhubarbrun/coordination/data_path_ids.hpp>
 #include <rhubarbrun/coordination/server_directory.hpp>
+#include <rhubarbrun/coordination/server_path.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -56,10 +57,10 @@
 class server_pool
 {
 public:
-    /// Opens a connection; the outcome is told with `on_connected` or
-    /// `on_connect_failed`.
-    using open_function =
-        std::function<void(connection_id, const server_record&)>;
+    /// Opens a connection, through the process at this address unless it is
+    /// empty; the outcome is told with `on_connected` or `on_connect_failed`.
+    using open_function = std::function<void(
+        connection_id, const server_record&, const std::string& detour)>;
     using close_function = std::function<void(connection_id)>;
 
     /// What a caller of `choose` needs.
@@ -79,9 +80,9 @@
     {
         target_id id;
         bool is_primary = false;
-        /// Last answer of the server, if there was one.
+        /// Last direct answer of the server, if there was one.
         std::optional<time_point> answered_at;
-        /// Set while attempts to use the server fail.
+        /// Set while attempts to use the server directly fail.
         std::optional<time_point> failing_since;
     };
 
@@ -94,6 +95,9 @@
         -> void;
     /// Processes, this included, that share the servers' connections.
     auto set_sharers(std::uint32_t count) -> void;
+    /// Processes that reach the server, by IP address.
+    auto set_detours(const target_id& id, std::vector<std::string> addresses)
+        -> void;
 
     /// An idle connection to the best server, which is then in use; no value
     /// if there is none, after opening one where that helps.
@@ -143,6 +147,8 @@
     /// Closes connections that are not used; returns when to call again.
     auto tick(time_point now) -> time_point;
 
+    /// Whether a server that has not left is at this address.
+    [[nodiscard]] auto is_known(const std::string& address) const -> bool;
     [[nodiscard]] auto server_of(connection_id id) const -> target_id;
     [[nodiscard]] auto group_of(connection_id id) const -> group_id;
     [[nodiscard]] auto health() const -> std::vector<server_health>;
@@ -185,10 +191,13 @@
         std::optional<time_point> answered_at;
         std::optional<time_point> failing_since;
         std::optional<time_point> draining_since;
+        server_path path;
     };
     struct connection
     {
         target_id server;
+        /// Address of the process that it goes through; empty for none.
+        std::string detour;
         bool is_idle = false;
         time_point used_at;
     };
@@ -219,7 +228,10 @@
                     duration older_than) -> void;
     [[nodiscard]] auto is_primary(const server& each) const -> bool;
     [[nodiscard]] auto rank(time_point now, const demand& need) -> ranking;
-    auto fail(time_point now, server& each) -> void;
+    /// A connection of the server failed that took this way.
+    auto fail(time_point now, server& each, const std::string& detour) -> void;
+    /// Closes the idle connections that are direct, or those that are not.
+    auto close_idle_of_way(server& each, bool is_direct) -> void;
 
     server_pool_options options_;
     open_function open_;
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -87,6 +87,13 @@
     /// Proxies, this included, that share the servers' connections.
     auto set_sharers(std::uint32_t count) -> void { pool_.set_sharers(count); }
 
+    /// Processes that reach the server, by IP address.
+    auto set_detours(const target_id& server,
+                     std::vector<std::string> addresses) -> void
+    {
+        pool_.set_detours(server, std::move(addresses));
+    }
+
     /// Whether the database of a new session has a route.
     [[nodiscard]] auto has_database(const database_id& database) const -> bool;
     auto start_session(time_point now, session_id id, database_id database)
--- a/include/rhubarbrun/coordination/sighting_digest.hpp
+++ b/include/rhubarbrun/coordination/sighting_digest.hpp
@@ -4,7 +4,9 @@
 #include <rhubarbrun/coordination/primary_supervisor.hpp>
 #include <rhubarbrun/state/units.hpp>
 
+#include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,16 @@
     auto add(time_point now, const std::string& proxy,
              const std::vector<server_sighting>& sightings) -> void;
 
+    /// Proxies that lately got an answer from the server and reach it, at most
+    /// `count`, those with the latest answers first.
+    [[nodiscard]] auto reachable_through(time_point now,
+                                         const target_id& server,
+                                         std::size_t count) const
+        -> std::vector<std::string>;
+
+    /// Servers that proxies told of lately.
+    [[nodiscard]] auto servers(time_point now) const -> std::set<target_id>;
+
     /// Whether the leader should be told now: soon after a failure was seen,
     /// otherwise at longer intervals.
     [[nodiscard]] auto is_due(time_point now) const -> bool;
--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -26,6 +26,19 @@
     }
 };
 
+/// Proxies that get answers from a server, by IP address.
+struct detour_record
+{
+    target_id server;
+    std::vector<std::string> proxies;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(server, proxies);
+    }
+};
+
 /// Control member to the others, at regular intervals.
 struct proxy_census
 {
@@ -36,11 +49,13 @@
     /// Names of the group's members as the sender knows them, for a member
     /// that is not part of the group yet and may know only a follower.
     std::vector<std::string> members;
+    /// Some of the sender's proxies that reach each primary.
+    std::vector<detour_record> detours;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(proxies, region, members);
+        archive(proxies, region, members, detours);
     }
 };
 
@@ -138,12 +153,14 @@
     std::uint32_t proxies = 1;
     /// Only in answers: their request bounds the time that passed since.
     std::vector<position_record> positions;
+    /// Ways to the servers that the request said it cannot reach.
+    std::vector<detour_record> detours;
 
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
         archive(answers, is_current, configuration_version, configuration,
-                servers, control_members, proxies, positions);
+                servers, control_members, proxies, positions, detours);
     }
 };
 
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -81,6 +81,7 @@
         !is_restart && each.record.role == server_role::primary;
     each.record = record;
     if (is_restart) {
+        each.path = {};
         each.idle_limit = options_.scarce_idle_limit;
         each.limit_refusals = 0;
         each.avoid_until = {};
@@ -167,7 +168,7 @@
         if (!is_candidate) {
             continue;
         }
-        if (!each.failing_since) {
+        if (!each.failing_since || each.path.is_detour_promising()) {
             return std::nullopt;
         }
         since =
@@ -226,6 +227,21 @@
     is_sharers_told_ = true;
 }
 
+auto server_pool::set_detours(const target_id& id,
+                              std::vector<std::string> addresses) -> void
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    auto& each = found->second;
+    const auto had_detour = each.path.has_detour();
+    each.path.set_detours(std::move(addresses));
+    if (!had_detour && each.path.has_detour()) {
+        each.avoid_until = {};
+    }
+}
+
 auto server_pool::part_of(const server& each) const -> double
 {
     const auto found = limits_.find(each.record.group);
@@ -286,10 +302,13 @@
             idle != ranked.end() &&
             idle->first - each->first <= connect_latency_us;
         if (is_close_enough) {
-            if (each != idle && each->second->connecting == 0 &&
+            const auto is_wanted =
+                each != idle || each->second->path.is_direct_due(now);
+            if (is_wanted && each->second->connecting == 0 &&
                 may_open(now, *each->second, need))
             {
-                // The better server takes the statements that follow.
+                // The better server, or the direct way to it, takes the
+                // statements that follow.
                 open(now, *each->second);
             }
             return take_idle(now, *idle->second);
@@ -329,10 +348,11 @@
 auto server_pool::open(time_point now, server& each) -> void
 {
     const auto id = connection_id(++last_connection_);
-    connections_[id] = {each.record.id, false, now};
+    const auto detour = each.path.choose(now);
+    connections_[id] = {each.record.id, detour, false, now};
     ++each.open;
     ++each.connecting;
-    open_(id, each.record);
+    open_(id, each.record, detour);
 }
 
 auto server_pool::on_connected(time_point now, connection_id id) -> void
@@ -345,8 +365,12 @@
     --each.connecting;
     each.failures = 0;
     each.limit_refusals = 0;
-    each.failing_since.reset();
-    each.answered_at = now;
+    each.path.on_opened(found->second.detour);
+    if (found->second.detour.empty()) {
+        each.failing_since.reset();
+        each.answered_at = now;
+        close_idle_of_way(each, false);
+    }
     found->second.is_idle = true;
     found->second.used_at = now;
     each.idle.push_back(id);
@@ -362,6 +386,7 @@
     auto& each = servers_.at(found->second.server);
     --each.connecting;
     --each.open;
+    const auto detour = found->second.detour;
     connections_.erase(found);
     if (reason == connect_failure::connection_limit) {
         each.no_connections_until = now + connection_limit_pause;
@@ -372,16 +397,39 @@
         }
         each.idle_limit =
             std::max(options_.shortest_idle_limit, each.idle_limit / 2);
-        each.answered_at = now;
+        if (detour.empty()) {
+            each.answered_at = now;
+        }
         return;
     }
-    fail(now, each);
+    fail(now, each, detour);
+}
+
+auto server_pool::close_idle_of_way(server& each, bool is_direct) -> void
+{
+    for (const auto& id : std::vector<connection_id>(each.idle)) {
+        if (connections_.at(id).detour.empty() == is_direct) {
+            std::erase(each.idle, id);
+            connections_.erase(id);
+            --each.open;
+            close_(id);
+        }
+    }
 }
 
-auto server_pool::fail(time_point now, server& each) -> void
+auto server_pool::fail(time_point now, server& each, const std::string& detour)
+    -> void
 {
-    if (!each.failing_since) {
-        each.failing_since = now;
+    each.path.on_failed(now, detour);
+    if (detour.empty()) {
+        if (!each.failing_since) {
+            each.failing_since = now;
+        }
+        close_idle_of_way(each, true);
+    }
+    if (each.path.is_detour_promising()) {
+        each.avoid_until = now;
+        return;
     }
     const auto pause = std::min<duration>(
         first_backoff *
@@ -402,10 +450,12 @@
     const auto sample = static_cast<double>(latency.count());
     each.latency_us += sample_weight * (sample - each.latency_us);
     each.sampled_at = now;
-    each.answered_at = now;
-    each.failing_since.reset();
     each.failures = 0;
     each.lagging_refusals = 0;
+    if (found->second.detour.empty()) {
+        each.answered_at = now;
+        each.failing_since.reset();
+    }
 }
 
 auto server_pool::on_silence(time_point now, connection_id id) -> void
@@ -417,8 +467,8 @@
     auto& each = servers_.at(found->second.server);
     const auto has_answered_lately =
         each.answered_at && *each.answered_at > found->second.used_at;
-    if (!has_answered_lately) {
-        fail(now, each);
+    if (!has_answered_lately || !found->second.detour.empty()) {
+        fail(now, each, std::string(found->second.detour));
     }
 }
 
@@ -542,9 +592,10 @@
     } else {
         --each.busy;
     }
+    const auto detour = found->second.detour;
     connections_.erase(found);
     if (is_failure) {
-        fail(now, each);
+        fail(now, each, detour);
     }
 }
 
@@ -599,6 +650,15 @@
     }
 }
 
+auto server_pool::is_known(const std::string& address) const -> bool
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+        const auto& record = each.second.record;
+        return record.address == address &&
+               record.state != server_availability::gone;
+    });
+}
+
 auto server_pool::server_of(connection_id id) const -> target_id
 {
     const auto found = connections_.find(id);
--- a/src/coordination/sighting_digest.cpp
+++ b/src/coordination/sighting_digest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace rhubarbrun::inline v1 {
 
@@ -39,6 +40,44 @@
         });
 }
 
+auto sighting_digest::reachable_through(time_point now, const target_id& server,
+                                        std::size_t count) const
+    -> std::vector<std::string>
+{
+    auto found = std::vector<std::pair<duration, std::string>>();
+    for (const auto& [proxy, told] : reports_) {
+        const auto age = now - told.told_at;
+        for (const auto& each : told.sightings) {
+            if (each.server == server && each.answered_ago &&
+                *each.answered_ago + age <= report_life)
+            {
+                found.emplace_back(*each.answered_ago + age, proxy);
+            }
+        }
+    }
+    std::sort(found.begin(), found.end());
+    auto result = std::vector<std::string>();
+    for (const auto& each : found) {
+        if (result.size() < count) {
+            result.push_back(each.second);
+        }
+    }
+    return result;
+}
+
+auto sighting_digest::servers(time_point now) const -> std::set<target_id>
+{
+    auto result = std::set<target_id>();
+    for (const auto& [proxy, told] : reports_) {
+        if (now - told.told_at <= report_life) {
+            for (const auto& each : told.sightings) {
+                result.insert(each.server);
+            }
+        }
+    }
+    return result;
+}
+
 auto sighting_digest::is_due(time_point now) const -> bool
 {
     const auto interval = is_failure_told_ ? failure_interval : calm_interval;
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -106,9 +106,14 @@
     auto save_servers(time_point now) -> void;
     auto tell_configuration() -> void;
     [[nodiscard]] auto proxy_count() const -> std::uint32_t;
-    /// `answered` is the number of the request, 0 if there is none.
-    auto send_update(link_id link, subscriber& to, std::uint64_t answered)
+    /// `answered` is the request, null if there is none.
+    auto send_update(link_id link, subscriber& to, const view_request* answered)
         -> void;
+    /// Ways to the servers that the report calls failing.
+    [[nodiscard]] auto detours_for(const sighting_report& report) const
+        -> std::vector<detour_record>;
+    /// Proxies of this member that reach each primary.
+    [[nodiscard]] auto own_detours() const -> std::vector<detour_record>;
     /// Passes on what this member's proxies see of the servers.
     auto tell_leader(time_point now) -> void;
     auto push_updates() -> void;
@@ -136,7 +141,7 @@
     server_directory directory_;
     primary_supervisor supervisor_;
     position_watch positions_;
-    /// What proxies told while another member leads.
+    /// What this member's proxies told.
     sighting_digest digest_;
     std::map<link_id, subscriber> proxies_;
     /// What the other members told last, and when.
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -16,6 +16,8 @@
 constexpr auto leader_silence_limit = milliseconds(1500);
 /// The file of known servers is written at most this often.
 constexpr auto cache_interval = milliseconds(250);
+/// Proxies that a member names as a way to one server.
+constexpr auto detours_told = std::size_t{2};
 
 auto to_sightings(const std::vector<sighting_record>& records)
     -> std::vector<server_sighting>
@@ -180,15 +182,57 @@
 {
     auto& to = proxies_[link.id];
     to.configuration_version = request.configuration_version;
-    send_update(link.id, to, request.number);
+    const auto now = steady_now();
+    digest_.add(now, request.report.observer,
+                to_sightings(request.report.sightings));
+    send_update(link.id, to, &request);
     if (member_->is_leader()) {
         on_report(request.report);
-        return;
+    } else {
+        tell_leader(now);
     }
+}
+
+auto configuration_node::implementation::own_detours() const
+    -> std::vector<detour_record>
+{
     const auto now = steady_now();
-    digest_.add(now, request.report.observer,
-                to_sightings(request.report.sightings));
-    tell_leader(now);
+    auto result = std::vector<detour_record>();
+    for (const auto& server : digest_.servers(now)) {
+        auto proxies = digest_.reachable_through(now, server, detours_told);
+        if (!proxies.empty()) {
+            result.push_back({server, std::move(proxies)});
+        }
+    }
+    return result;
+}
+
+auto configuration_node::implementation::detours_for(
+    const sighting_report& report) const -> std::vector<detour_record>
+{
+    const auto now = steady_now();
+    auto result = std::vector<detour_record>();
+    for (const auto& each : report.sightings) {
+        if (each.failing_for_ms < 0) {
+            continue;
+        }
+        auto way = detour_record{
+            each.server,
+            digest_.reachable_through(now, each.server, detours_told)};
+        for (const auto& [name, told] : census_) {
+            if (now - told.second > 2 * census_interval) {
+                continue;
+            }
+            for (const auto& other : told.first.detours) {
+                if (other.server == each.server) {
+                    way.proxies.insert(way.proxies.end(), other.proxies.begin(),
+                                       other.proxies.end());
+                }
+            }
+        }
+        result.push_back(std::move(way));
+    }
+    return result;
 }
 
 auto configuration_node::implementation::on_report(
@@ -217,13 +261,10 @@
                                 : now - leader_heard_at_ < leader_silence_limit;
 }
 
-auto configuration_node::implementation::send_update(link_id link,
-                                                     subscriber& to,
-                                                     std::uint64_t answered)
-    -> void
+auto configuration_node::implementation::send_update(
+    link_id link, subscriber& to, const view_request* answered) -> void
 {
     auto update = view_update{};
-    update.answers = answered;
     update.is_current = is_current();
     update.configuration_version = history_.newest().version;
     if (to.configuration_version < history_.newest().version) {
@@ -240,7 +281,9 @@
         update.control_members.push_back({name, region});
     }
     update.proxies = proxy_count();
-    if (answered > 0) {
+    if (answered != nullptr) {
+        update.answers = answered->number;
+        update.detours = detours_for(answered->report);
         const auto now = steady_now();
         for (const auto& each : positions_.observations(now)) {
             const auto age = to_milliseconds(now - each.asked_at) + 1;
@@ -255,7 +298,7 @@
     send_to_control(
         message_type::proxy_census,
         encode(proxy_census{static_cast<std::uint32_t>(proxies_.size()),
-                            options_.region, member_names()}));
+                            options_.region, member_names(), own_detours()}));
 }
 
 auto configuration_node::implementation::proxy_count() const -> std::uint32_t
@@ -276,7 +319,7 @@
         if (to.directory_revision < directory_.revision() ||
             to.configuration_version < history_.newest().version)
         {
-            send_update(link, to, 0);
+            send_update(link, to, nullptr);
         }
     }
 }
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -136,6 +136,11 @@
         return servers_.at(each.connection);
     }
 
+    auto way_of(const sent_statement& each) -> std::string
+    {
+        return ways_.at(each.connection);
+    }
+
     auto lose(connection_id id) -> void
     {
         std::erase_if(sent,
@@ -162,7 +167,12 @@
             opening_.pop_front();
             ++opened;
             const auto& server = servers_.at(id);
-            if (refusals.contains(server)) {
+            const auto is_refused = ways_.at(id).empty()
+                                        ? refusals.contains(server)
+                                        : !detours_open;
+            if (is_refused && !refusals.contains(server)) {
+                relay.on_connect_failed(now, id, connect_failure::unreachable);
+            } else if (is_refused) {
                 relay.on_connect_failed(now, id, refusals.at(server));
             } else {
                 relay.on_connected(now, id);
@@ -187,6 +197,8 @@
     std::map<std::string, connect_failure> refusals;
     std::vector<connection_id> closed_connections;
     std::size_t opened = 0;
+    /// Whether connections through other processes open.
+    bool detours_open = false;
     /// Connections stay unopened.
     bool is_holding = false;
     session_relay relay;
@@ -207,8 +219,10 @@
                 sent.push_back({id, each});
             }
         };
-        hooks.open = [this](connection_id id, const server_record& server) {
+        hooks.open = [this](connection_id id, const server_record& server,
+                            const std::string& detour) {
             servers_[id] = server.id.value();
+            ways_[id] = detour;
             opening_.push_back(id);
         };
         hooks.close = [this](connection_id id) {
@@ -218,6 +232,7 @@
     }
 
     std::map<connection_id, std::string> servers_;
+    std::map<connection_id, std::string> ways_;
     std::map<connection_id, transaction_status> statuses_;
     std::deque<connection_id> opening_;
     std::uint64_t sequence_ = 0;
--- a/tests/coordination/sighting_digest_test.cpp
+++ b/tests/coordination/sighting_digest_test.cpp
@@ -64,6 +64,23 @@
     CHECK(digest.take(start + milliseconds(2100)).empty());
 }
 
+TEST_CASE("sighting digest: the proxies that reach a server are known, the "
+          "latest first")
+{
+    auto digest = sighting_digest();
+    digest.add(start, "one", {seen("p", milliseconds(500))});
+    digest.add(start, "two", {seen("p", milliseconds(10))});
+    digest.add(start, "three", {seen("p", std::nullopt, milliseconds(900))});
+    digest.add(start, "four", {seen("q", milliseconds(10))});
+    const auto way = [&](duration later, std::size_t count) {
+        return digest.reachable_through(start + later, target_id("p"), count);
+    };
+    CHECK(way(duration::zero(), 2) == std::vector<std::string>{"two", "one"});
+    CHECK(way(duration::zero(), 1) == std::vector<std::string>{"two"});
+    CHECK(way(milliseconds(1200), 2) == std::vector<std::string>{"two"});
+    CHECK(way(milliseconds(1600), 2).empty());
+}
+
 TEST_CASE("sighting digest: failures are told sooner than answers")
 {
     auto digest = sighting_digest();
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -134,6 +134,7 @@
         address = "10.200.0.160:8783"
     )");
     CHECK(settings.peer_port == 7440);
+    CHECK(settings.detour_port == 7441);
     CHECK(settings.seeds == std::vector<std::string>{"10.1.0.11", "10.2.0.9"});
     CHECK(settings.is_first_start);
     CHECK(settings.tolerated_losses == 2);
