--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -44,6 +44,9 @@
     std::function<void(session_id, const relay_reply&)> reply;
     /// Ends a session between its requests.
     std::function<void(session_id)> close_session;
+    /// Whether bytes of the caller have arrived that were not read yet; may be
+    /// empty.
+    std::function<bool(session_id)> has_unread_bytes = {};
     std::function<void(connection_id, const std::vector<relay_statement>&)>
         send;
     server_pool::open_function open;
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -115,7 +115,10 @@
 auto session_relay::may_close(time_point now, const session& caller) const
     -> bool
 {
-    if (caller.current || !caller.later.empty()) {
+    const auto has_request =
+        caller.current || !caller.later.empty() ||
+        (hooks_.has_unread_bytes && hooks_.has_unread_bytes(caller.id));
+    if (has_request) {
         return false;
     }
     if (now - *draining_since_ >= grace_ / 2) {
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -194,6 +195,8 @@
     std::deque<sent_statement> sent;
     std::map<session_id, std::vector<relay_reply>> replies;
     std::vector<session_id> closed;
+    /// Sessions with bytes that were not read.
+    std::set<session_id> unread;
     std::map<std::string, connect_failure> refusals;
     std::vector<connection_id> closed_connections;
     std::size_t opened = 0;
@@ -213,6 +216,9 @@
         hooks.close_session = [this](session_id id) {
             closed.push_back(id);
         };
+        hooks.has_unread_bytes = [this](session_id id) {
+            return unread.contains(id);
+        };
         hooks.send = [this](connection_id id,
                             const std::vector<relay_statement>& statements) {
             for (const auto& each : statements) {
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -253,6 +253,24 @@
     CHECK(harness.closed == std::vector<session_id>{caller});
 }
 
+// Pattern: a process without processor time while it shuts down. It closed
+// sessions whose requests lay unread, which resets their connections.
+TEST_CASE("session relay: a drain closes no session whose request is unread")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.unread.insert(caller);
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(3200));
+    CHECK(harness.closed.empty());
+    harness.unread.clear();
+    harness.ask(caller, relay_step::write, "item data");
+    harness.answer_all();
+    CHECK(harness.last_reply(caller).is_success());
+    harness.pass(milliseconds(5));
+    CHECK(harness.closed == std::vector<session_id>{caller});
+}
+
 TEST_CASE(
     "session relay: a drain spares a session that has just begun until its "
     "request came")
