--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -10,6 +10,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -28,6 +30,10 @@
     wrong_server,
 };
 
+/// Name for logs, such as "connection_limit".
+[[nodiscard]] auto to_string(connect_failure reason) noexcept
+    -> std::string_view;
+
 /// Settings of a `server_pool`.
 struct server_pool_options
 {
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -63,6 +63,21 @@
 
 } // namespace
 
+auto to_string(connect_failure reason) noexcept -> std::string_view
+{
+    switch (reason) {
+    case connect_failure::refused:
+        return "refused";
+    case connect_failure::unreachable:
+        return "unreachable";
+    case connect_failure::connection_limit:
+        return "connection_limit";
+    case connect_failure::wrong_server:
+        return "wrong_server";
+    }
+    return "unknown";
+}
+
 server_pool::server_pool(server_pool_options options, open_function open,
                          close_function close)
     : options_(std::move(options)),
