coordination: wait for a connection before a statement is refused

Cause: after a loss of power servers hold dead connections up to their limit for seconds. Change: a statement waits for at least 300 ms before it is refused for lack of connections.

--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -15,6 +15,9 @@
 constexpr auto probe_patience = milliseconds(400);
 /// A primary is noticed to be lost, replaced and announced within this time.
 constexpr auto outage_patience = milliseconds(3500);
+/// A statement waits at least this long for a connection to a primary that
+/// refuses some: callers repeat what is refused only a few times.
+constexpr auto connection_patience = milliseconds(300);
 /// After this time a full server has worked off its queue, and a group without
 /// a primary may have another one.
 constexpr auto return_to_full_server = milliseconds(200);
@@ -203,11 +206,13 @@
     const auto since = pool_.outage_since(need);
     const auto is_outage = since && now - *since >= outage_patience;
     const auto& current = *caller.current;
-    const auto has_waited_long =
-        now - current.arrived > current.route.route->latency_objective / 2;
-    if (!is_outage && !pool_.is_out_of_connections(now, need) &&
-        !(has_waited_long && pool_.is_full(now, need)))
-    {
+    const auto waited = now - current.arrived;
+    const auto is_out_of_connections =
+        waited >= connection_patience && pool_.is_out_of_connections(now, need);
+    const auto is_overloaded =
+        waited > current.route.route->latency_objective / 2 &&
+        pool_.is_full(now, need);
+    if (!is_outage && !is_out_of_connections && !is_overloaded) {
         return false;
     }
     refuse(now, caller);
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -347,6 +347,28 @@
     CHECK(harness.last_reply(caller).is_success());
 }
 
+// Pattern: after a loss of power servers hold dead connections up to their
+// limit for seconds. Callers used up their few retries within milliseconds.
+TEST_CASE("session relay: a statement that comes while connections are refused "
+          "waits for one")
+{
+    auto harness = relay_harness();
+    harness.relay.set_sharers(120);
+    harness.refusals["p"] = connect_failure::connection_limit;
+    const auto first = harness.start("orders");
+    const auto second = harness.start("orders");
+    harness.ask(first, relay_step::write, "item data");
+    harness.pass(milliseconds(350));
+    REQUIRE(harness.replies[first].size() == 1);
+    harness.ask(second, relay_step::write, "item data");
+    harness.pass(milliseconds(200));
+    CHECK(harness.replies[second].empty());
+    harness.refusals.clear();
+    harness.pass(milliseconds(150));
+    harness.answer_all();
+    CHECK(harness.last_reply(second).is_success());
+}
+
 // Pattern: as above; processes that hold idle connections starve the others.
 TEST_CASE(
     "session relay: idle connections are given back sooner after a server "
