--- a/src/transport/detour_server.cpp
+++ b/src/transport/detour_server.cpp
@@ -187,7 +187,7 @@
     auto listen(const asio::ip::tcp::endpoint& endpoint)
         -> asio::ip::tcp::endpoint
     {
-        const auto bound = listen_at(acceptor_, endpoint);
+        auto bound = listen_at(acceptor_, endpoint);
         accept();
         return bound;
     }
