coordination: split server_pool, name the choice of another server

Change: what decides where a statement runs is a source of its own; the pause or the other server after a refusal is a function. No behaviour changes. Measured: coordination_tests.

--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -319,6 +319,10 @@
     /// The transaction, if one is open, is over at its server. A commit ends
     /// it for the caller as well; after anything else the caller rolls it back.
     static auto end_transaction(session& caller) -> void;
+    /// The next attempt goes to another server, or to the same one after a
+    /// pause if there is no other.
+    auto choose_another(time_point now, session& caller,
+                        const target_id& server) -> void;
     auto expire(time_point now, session& caller) -> void;
     auto detach(time_point now, session& caller) -> void;
     auto settle(time_point now, connection_id id) -> void;
--- /dev/null
+++ b/src/coordination/server_pool_choice.cpp
@@ -0,0 +1,257 @@
+#include <rhubarbrun/coordination/server_pool.hpp>
+
+#include <algorithm>
+
+// Which server runs a statement, and whether a connection to it is opened.
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Round trips and work of a statement, by distance, before there are samples.
+constexpr auto same_zone_latency_us = 15'000.0;
+constexpr auto same_region_latency_us = 17'000.0;
+constexpr auto other_region_latency_us = 50'000.0;
+/// Opening a connection takes a round trip, the server's set-up time and a
+/// slot of it.
+constexpr auto connect_latency_us = 30'000.0;
+/// Connections to one server that are opened at a time; one if it is full,
+/// because each takes a slot that could run statements.
+constexpr auto most_connecting = std::size_t{3};
+/// A sample counts for nothing after this long, so that a server that was slow
+/// is tried again.
+constexpr auto sample_life = std::chrono::seconds(3);
+/// Reads at the primary take slots that only it has for writes.
+constexpr auto primary_read_penalty = 1.6;
+/// Work beyond one statement a slot waits in the server's queue.
+constexpr auto queue_weight = 0.7;
+/// A primary that leaves still takes work for this long, because its successor
+/// is being chosen; a replica takes none.
+constexpr auto leaving_primary_time = std::chrono::seconds(5);
+/// Part of a server's connections that is shared out; the rest is for control
+/// and for connections that a server still holds after their end.
+constexpr auto shared_part = 0.9;
+
+} // namespace
+
+auto server_pool::is_primary(const server& each) const -> bool
+{
+    if (each.claim == 0 || each.is_claim_refused) {
+        return false;
+    }
+    return std::none_of(
+        servers_.begin(), servers_.end(), [&](const auto& other) {
+            return other.second.record.group == each.record.group &&
+                   other.second.claim > each.claim &&
+                   !other.second.is_claim_refused &&
+                   other.second.record.state != server_availability::gone;
+        });
+}
+
+auto server_pool::may_use(time_point now, const server& each,
+                          const demand& need) const -> bool
+{
+    if (each.record.group != need.group || now < each.avoid_until ||
+        each.record.state == server_availability::gone)
+    {
+        return false;
+    }
+    if (need.is_primary_needed) {
+        return is_primary(each) &&
+               (!each.draining_since ||
+                now - *each.draining_since < leaving_primary_time);
+    }
+    return !each.draining_since && (need.excluded == nullptr ||
+                                    !need.excluded->contains(each.record.id));
+}
+
+auto server_pool::is_served(time_point now, const demand& need) const -> bool
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+        return may_use(now, each.second, need);
+    });
+}
+
+auto server_pool::outage_since(const demand& need) const
+    -> std::optional<time_point>
+{
+    auto since = std::optional<time_point>();
+    for (const auto& [id, each] : servers_) {
+        const auto is_candidate =
+            each.record.group == need.group &&
+            each.record.state != server_availability::gone &&
+            (!need.is_primary_needed || is_primary(each));
+        if (!is_candidate) {
+            continue;
+        }
+        if (!each.failing_since || each.path.is_detour_promising()) {
+            return std::nullopt;
+        }
+        since =
+            std::max(since.value_or(*each.failing_since), *each.failing_since);
+    }
+    return since;
+}
+
+auto server_pool::is_out_of_connections(time_point now,
+                                        const demand& need) const -> bool
+{
+    return need.is_primary_needed &&
+           std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+               const auto& known = each.second;
+               return known.record.group == need.group &&
+                      now < known.out_of_connections_until &&
+                      known.open == known.connecting && is_primary(known);
+           });
+}
+
+auto server_pool::base_latency(const server& each) const -> double
+{
+    if (each.record.zone == options_.zone) {
+        return same_zone_latency_us;
+    }
+    const auto own = options_.regions.find(options_.zone);
+    const auto other = options_.regions.find(each.record.zone);
+    const auto is_same_region = own != options_.regions.end() &&
+                                other != options_.regions.end() &&
+                                own->second == other->second;
+    return is_same_region ? same_region_latency_us : other_region_latency_us;
+}
+
+auto server_pool::score(time_point now, const server& each,
+                        bool is_primary_needed) const -> double
+{
+    const auto base = base_latency(each);
+    const auto age = now - each.sampled_at;
+    const auto weight =
+        age >= sample_life
+            ? 0.0
+            : 1.0 - static_cast<double>(age.count()) /
+                        static_cast<double>(duration(sample_life).count());
+    auto result = base + weight * (each.latency_us - base);
+    const auto slots = std::max<double>(1, each.record.slots);
+    result *= 1 + queue_weight * static_cast<double>(each.busy) / slots;
+    if (!is_primary_needed && is_primary(each)) {
+        result *= primary_read_penalty;
+    }
+    return result;
+}
+
+auto server_pool::part_of(const server& each) const -> double
+{
+    const auto found = limits_.find(each.record.group);
+    const auto total = found == limits_.end() ? 0U : found->second;
+    return shared_part * total / sharers_;
+}
+
+auto server_pool::share_of(const server& each) const -> std::size_t
+{
+    return std::max<std::size_t>(1, static_cast<std::size_t>(part_of(each)));
+}
+
+auto server_pool::may_open(time_point now, const server& each,
+                           const demand& need) const -> bool
+{
+    const auto share = share_of(each);
+    const auto limit =
+        now < each.burst_not_before ? share : share * options_.burst_factor;
+    const auto is_pressed = now < each.burst_not_before || !is_sharers_told_;
+    const auto at_once =
+        is_pressed ? std::size_t{1} : std::min(need.waiting, most_connecting);
+    return each.open < (is_sharers_told_ ? limit : share) &&
+           each.connecting < at_once && now >= each.no_connections_until;
+}
+
+auto server_pool::rank(time_point now, const demand& need) -> ranking
+{
+    auto ranked = ranking();
+    for (auto& [id, each] : servers_) {
+        if (may_use(now, each, need)) {
+            ranked.emplace_back(score(now, each, need.is_primary_needed),
+                                &each);
+        }
+    }
+    if (!need.is_primary_needed) {
+        leave_out_lagging(now, ranked);
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& left, const auto& right) {
+                  return left.first < right.first;
+              });
+    std::erase_if(ranked, [&](const auto& each) {
+        return has_no_room(now, *each.second);
+    });
+    return ranked;
+}
+
+auto server_pool::choose(time_point now, const demand& need)
+    -> std::optional<connection_id>
+{
+    const auto ranked = rank(now, need);
+    const auto idle =
+        std::find_if(ranked.begin(), ranked.end(), [](const auto& each) {
+            return !each.second->idle.empty();
+        });
+    for (auto each = ranked.begin(); each != ranked.end(); ++each) {
+        const auto is_close_enough =
+            idle != ranked.end() &&
+            idle->first - each->first <= connect_latency_us;
+        if (is_close_enough) {
+            const auto is_wanted =
+                each != idle || each->second->path.is_direct_due(now);
+            if (is_wanted && each->second->connecting == 0 &&
+                may_open(now, *each->second, need))
+            {
+                // The better server, or the direct way to it, takes the
+                // statements that follow.
+                open(now, *each->second);
+            }
+            return take_idle(now, *idle->second);
+        }
+        if (may_open(now, *each->second, need)) {
+            open(now, *each->second);
+            return std::nullopt;
+        }
+        if (each->second->connecting > 0) {
+            return std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+auto server_pool::leave_out_lagging(time_point now, ranking& ranked) -> void
+{
+    const auto first_lagging = std::stable_partition(
+        ranked.begin(), ranked.end(),
+        [&](const auto& each) { return now >= each.second->lagging_until; });
+    if (first_lagging != ranked.begin()) {
+        ranked.erase(first_lagging, ranked.end());
+    }
+}
+
+auto server_pool::has_no_room(time_point now, const server& each) -> bool
+{
+    return now < each.full_until || each.busy >= each.window;
+}
+
+auto server_pool::is_full(time_point now, const demand& need) const -> bool
+{
+    auto is_any = false;
+    for (const auto& [id, each] : servers_) {
+        if (!may_use(now, each, need) || now < each.lagging_until) {
+            continue;
+        }
+        if (!has_no_room(now, each)) {
+            return false;
+        }
+        is_any = true;
+    }
+    return is_any;
+}
+
+auto server_pool::has_scarce_connections(const server& each) const -> bool
+{
+    return is_sharers_told_ && part_of(each) < 1;
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -203,6 +203,23 @@
     try_again(now, caller, error, server);
 }
 
+auto session_relay::choose_another(time_point now, session& caller,
+                                   const target_id& server) -> void
+{
+    auto& current = *caller.current;
+    if (needs_primary(caller)) {
+        current.not_before = now + refusal_pause(current.attempts);
+        return;
+    }
+    current.excluded.insert(server);
+    auto need = demand_of(caller);
+    need.excluded = &current.excluded;
+    if (!pool_.is_served(now, need)) {
+        current.excluded.clear();
+        current.not_before = now + refusal_pause(current.attempts);
+    }
+}
+
 auto session_relay::try_again(time_point now, session& caller,
                               relay_error cause, const target_id& server)
     -> void
@@ -215,18 +232,9 @@
     }
     ++counters_.sent_elsewhere;
     log(now, "sent_elsewhere", caller, server, cause);
-    if (cause == relay_error::retry) {
-        // The pool sends nothing to the full server for a while.
-    } else if (!needs_primary(caller)) {
-        current.excluded.insert(server);
-        auto need = demand_of(caller);
-        need.excluded = &current.excluded;
-        if (!pool_.is_served(now, need)) {
-            current.excluded.clear();
-            current.not_before = now + refusal_pause(current.attempts);
-        }
-    } else {
-        current.not_before = now + refusal_pause(current.attempts);
+    if (cause != relay_error::retry) {
+        // To a full server the pool sends nothing for a while.
+        choose_another(now, caller, server);
     }
     if (!assign(now, caller)) {
         wait(caller);
