--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -114,6 +114,8 @@
     [[nodiscard]] auto leader() const -> std::optional<std::string>;
     /// Whether this member may lead.
     [[nodiscard]] auto is_leader() const -> bool;
+    /// Version of the configuration in force here; 0 if there is none.
+    [[nodiscard]] auto configuration_version() const -> std::uint64_t;
     /// State on one line of JSON.
     [[nodiscard]] auto dump() const -> std::string;
 
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -30,12 +30,16 @@
     peer_link_limits links;
     /// Time between requests.
     duration interval = std::chrono::milliseconds(500);
+    /// A member of another region is left for one of the own region at most
+    /// this often.
+    duration return_interval = std::chrono::seconds(10);
 };
 
 /// What a `view_client` needs from its surroundings.
 struct view_client_hooks
 {
-    std::function<void(view_update)> on_update;
+    /// `member` is the address of the sender.
+    std::function<void(const std::string& member, view_update)> on_update;
     /// What to tell control about the servers.
     std::function<std::vector<sighting_record>()> sightings;
     /// Version of the configuration that this process holds.
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -152,9 +152,9 @@
         const auto result = member_->propose(
             now, configuration_history::encode({version, compress_text(text)}));
         if (const auto* const added = std::get_if<proposal>(&result)) {
-            submissions_.emplace(
-                added->index,
-                pending_submission{added->elected, now, std::move(done)});
+            submissions_.emplace(added->index,
+                                 pending_submission{version, added->elected,
+                                                    now, std::move(done)});
             return;
         }
         done(submit_outcome::unknown);
@@ -209,6 +209,7 @@
         history_.load(ready.snapshot->data);
         applied_ = snapshot_index_ = ready.snapshot->metadata.index;
         if (history_.newest().version > 0) {
+            log_in_force("snapshot");
             tell_configuration();
         }
         push_updates();
@@ -231,14 +232,51 @@
     }
 }
 
+auto configuration_node::implementation::log_in_force(
+    std::string_view source) const -> void
+{
+    log_event("configuration_in_force")
+        .field("version", history_.newest().version)
+        .field("bytes", history_.newest().packed.size())
+        .field("index", applied_)
+        .field("source", source)
+        .field("leader", leader().value_or(std::string()));
+}
+
+auto configuration_node::implementation::log_acknowledged(
+    const pending_submission& submission, log_index index) const -> void
+{
+    const auto status = member_->status(steady_now());
+    auto copies = options_.address;
+    for (const auto& other : status.others) {
+        if (other.matched >= index) {
+            copies += ',' + other.member.identity.id.value();
+        }
+    }
+    log_event("configuration_acknowledged")
+        .field("version", submission.version)
+        .field("held", history_.newest().version)
+        .field("index", index)
+        .field("term", status.current)
+        .field("durable_on", copies);
+}
+
+auto configuration_node::implementation::log_leader_contact() -> void
+{
+    if (is_current() == was_current_) {
+        return;
+    }
+    was_current_ = !was_current_;
+    log_event(was_current_ ? "leader_contact" : "leader_contact_lost")
+        .field("leader", leader().value_or(std::string()))
+        .field("configuration", history_.newest().version);
+}
+
 auto configuration_node::implementation::apply(const log_entry& entry) -> void
 {
     applied_ = entry.index;
     if (entry.kind == entry_kind::command && history_.apply(entry.command)) {
-        log_event("configuration_in_force")
-            .field("version", history_.newest().version)
-            .field("bytes", history_.newest().packed.size())
-            .field("index", entry.index);
+        log_in_force("log");
         tell_configuration();
         push_updates();
     } else if (entry.kind == entry_kind::configuration) {
@@ -254,6 +292,9 @@
     }
     submissions_.erase(first, last);
     for (const auto& each : finished) {
+        if (each.elected == entry.elected) {
+            log_acknowledged(each, entry.index);
+        }
         each.done(each.elected == entry.elected ? submit_outcome::accepted
                                                 : submit_outcome::unknown);
     }
@@ -342,6 +383,7 @@
             }
             if (at >= self->next_supervision_) {
                 self->next_supervision_ = at + supervision_interval;
+                self->log_leader_contact();
                 self->supervisor_.tick(at, self->directory_);
                 self->tell_leader(at);
                 if (!self->proxies_.empty()) {
@@ -473,6 +515,11 @@
     return implementation_->is_leader();
 }
 
+auto configuration_node::configuration_version() const -> std::uint64_t
+{
+    return implementation_->configuration_version();
+}
+
 auto configuration_node::dump() const -> std::string
 {
     return implementation_->dump();
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,11 @@
         return member_->is_leader();
     }
 
+    [[nodiscard]] auto configuration_version() const -> std::uint64_t
+    {
+        return history_.newest().version;
+    }
+
     [[nodiscard]] auto dump() const -> std::string;
 
 private:
@@ -69,6 +75,7 @@
 
     struct pending_submission
     {
+        std::uint64_t version = 0;
         election_term elected;
         time_point since;
         submit_callback done;
@@ -105,6 +112,12 @@
     auto send_census() -> void;
     auto save_servers(time_point now) -> void;
     auto tell_configuration() -> void;
+    auto log_in_force(std::string_view source) const -> void;
+    /// Logs which members hold the submission on disk.
+    auto log_acknowledged(const pending_submission& submission,
+                          log_index index) const -> void;
+    /// Logs when contact with the leader begins or ends.
+    auto log_leader_contact() -> void;
     [[nodiscard]] auto proxy_count() const -> std::uint32_t;
     /// `answered` is the request, null if there is none.
     auto send_update(link_id link, subscriber& to, const view_request* answered)
@@ -157,6 +170,7 @@
     time_point next_supervision_;
     time_point leader_heard_at_;
     bool was_leading_ = false;
+    bool was_current_ = false;
     bool is_stopped_ = false;
     bool is_pumping_ = false;
 };
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -21,9 +21,6 @@
 constexpr auto link_patience = milliseconds(300);
 /// Answers to older requests than these tell no positions.
 constexpr auto requests_remembered = std::size_t{4};
-/// A member of another region is left for one of the own region at most this
-/// often.
-constexpr auto return_interval = std::chrono::seconds(10);
 
 } // namespace
 
@@ -41,9 +38,9 @@
                  {{peer_role::proxy, options_.address},
                   incarnation(random_number())},
                  {[this](const link_info& link) { on_link_up(link); },
-                  [this](const link_info&, message_type type,
+                  [this](const link_info& link, message_type type,
                          const std::string& payload) {
-                      on_message(type, payload);
+                      on_message(link, type, payload);
                   },
                   [this](const link_info& link, std::string_view reason) {
                       on_link_down(link, reason);
@@ -109,7 +106,8 @@
         follow_next();
     }
 
-    auto on_message(message_type type, const std::string& payload) -> void
+    auto on_message(const link_info& link, message_type type,
+                    const std::string& payload) -> void
     {
         if (type != message_type::view_update) {
             return;
@@ -131,7 +129,7 @@
             members_ = update->control_members;
         }
         tell_positions(*update);
-        hooks_.on_update(std::move(*update));
+        hooks_.on_update(link.peer.who.name, std::move(*update));
         return_to_region();
     }
 
@@ -168,7 +166,7 @@
                 return member.region == options_.region;
             });
         if (has_near && !is_near(followed_) && now >= next_return_) {
-            next_return_ = now + return_interval;
+            next_return_ = now + options_.return_interval;
             attempts_ = 0;
             follow_next();
         }
@@ -198,6 +196,12 @@
             return;
         }
         if (!followed_.empty()) {
+            const auto now = steady_now();
+            log_event("control_left")
+                .field("member", followed_)
+                .field("was_current", is_followed_current_)
+                .field("view_age_ms",
+                       current_at_ ? to_milliseconds(now - *current_at_) : -1);
             links_.forget({peer_role::control, followed_});
         }
         link_.reset();
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -163,7 +163,7 @@
                               [] { return founders; },
                               link_key(),
                               {}},
-                             {[&](view_update received) {
+                             {[&](const std::string&, view_update received) {
                                   if (received.configuration_version >=
                                       update.configuration_version) {
                                       update = std::move(received);
@@ -223,7 +223,7 @@
                               [] { return founders; },
                               link_key(),
                               {}},
-                             {[](const view_update&) {},
+                             {[](const std::string&, const view_update&) {},
                               [] { return std::vector<sighting_record>(); },
                               [] { return std::uint64_t{0}; },
                               [&](const group_id& about, time_point asked_at,
