--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -1,11 +1,11 @@
 #include <rhubarbrun/transport/view_client.hpp>
 
+#include <rhubarbrun/coordination/member_choice.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/worker_pool.hpp>
 
 #include <algorithm>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <utility>
 
@@ -13,12 +13,6 @@
 
 namespace {
 
-/// A member that sent nothing useful for this long is left for another one;
-/// two requests and their round trips.
-constexpr auto member_patience = milliseconds(1400);
-/// Time for a member to accept a link, with several round trips between
-/// regions.
-constexpr auto link_patience = milliseconds(300);
 /// Answers to older requests than these tell no positions.
 constexpr auto requests_remembered = std::size_t{4};
 
@@ -33,7 +27,6 @@
         : options_(std::move(options)),
           hooks_(std::move(hooks)),
           timer_(context),
-          link_timer_(context),
           links_(context, options_.link_key,
                  {{peer_role::proxy, options_.address},
                   incarnation(random_number())},
@@ -45,13 +38,22 @@
                   [this](const link_info& link, std::string_view reason) {
                       on_link_down(link, reason);
                   }},
-                 options_.links)
+                 options_.links),
+          choice_(
+              {options_.address, options_.region, options_.seeds,
+               options_.interval, options_.return_interval},
+              {[this](const std::string& member) { connect(member); },
+               [this](const std::string& member) { forget(member); },
+               [this](const std::string& member) { request(member); },
+               [this](const std::string& member, const std::string& reason) {
+                   log_left(member, reason);
+               }})
     {
     }
 
     auto start() -> void
     {
-        follow_next();
+        choice_.start(steady_now());
         arm_timer();
     }
 
@@ -59,18 +61,32 @@
     {
         is_stopped_ = true;
         timer_.cancel();
-        link_timer_.cancel();
         links_.stop();
     }
 
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>
     {
-        return current_at_ ? std::optional(now - *current_at_) : std::nullopt;
+        const auto covered = choice_.covered();
+        return covered ? std::optional(now - *covered) : std::nullopt;
     }
 
-    auto request() -> void
+private:
+    auto connect(const std::string& member) -> void
+    {
+        links_.connect({peer_role::control, member},
+                       {asio::ip::make_address(member), options_.peer_port});
+    }
+
+    auto forget(const std::string& member) -> void
     {
-        if (!link_) {
+        open_.erase(member);
+        links_.forget({peer_role::control, member});
+    }
+
+    auto request(const std::string& member) -> void
+    {
+        const auto link = open_.find(member);
+        if (link == open_.end()) {
             return;
         }
         auto message = view_request{};
@@ -81,56 +97,73 @@
         }
         message.configuration_version = hooks_.configuration_version();
         message.report = {options_.address, hooks_.sightings()};
-        links_.send(*link_, message_type::view_request, encode(message));
+        links_.send(link->second, message_type::view_request, encode(message));
+    }
+
+    auto log_left(const std::string& member, const std::string& reason) -> void
+    {
+        const auto view_age = age(steady_now());
+        log_event("control_left")
+            .field("member", member)
+            .field("reason", reason)
+            .field("view_age_ms", view_age ? to_milliseconds(*view_age) : -1);
+        current_.clear();
     }
 
-private:
     auto on_link_up(const link_info& link) -> void
     {
-        if (link.peer.who.name != followed_) {
-            return;
-        }
-        link_ = link.id;
-        request();
+        const auto& member = link.peer.who.name;
+        open_[member] = link.id;
+        choice_.on_link_up(steady_now(), member);
+        arm_timer();
     }
 
     auto on_link_down(const link_info& link, std::string_view reason) -> void
     {
-        if (link_ != link.id) {
+        const auto& member = link.peer.who.name;
+        const auto found = open_.find(member);
+        if (found == open_.end() || found->second != link.id) {
             return;
         }
-        link_.reset();
+        open_.erase(found);
         log_event("control_lost", event_severity::warning)
-            .field("member", link.peer.who.name)
+            .field("member", member)
             .field("reason", reason);
-        follow_next();
+        choice_.on_link_down(steady_now(), member);
+        arm_timer();
     }
 
     auto on_message(const link_info& link, message_type type,
                     const std::string& payload) -> void
     {
+        const auto& member = link.peer.who.name;
         if (type != message_type::view_update) {
             return;
         }
         auto update = decode<view_update>(payload);
         if (!update) {
             log_event("view_update_malformed", event_severity::warning)
-                .field("member", followed_);
+                .field("member", member);
             return;
         }
-        if (update->is_current) {
-            if (!std::exchange(is_followed_current_, true)) {
-                log_event("control_followed").field("member", followed_);
-            }
-            current_at_ = steady_now();
-            followed_since_ = *current_at_;
+        if (update->is_current && current_ != member) {
+            current_ = member;
+            log_event("control_followed").field("member", member);
         }
         if (!update->control_members.empty()) {
-            members_ = update->control_members;
+            auto members = std::vector<member_location>();
+            for (const auto& each : update->control_members) {
+                members.push_back({each.address, each.region});
+            }
+            choice_.set_members(std::move(members));
         }
+        const auto now = steady_now();
+        const auto is_current = update->is_current;
         tell_positions(*update);
-        hooks_.on_update(link.peer.who.name, std::move(*update));
-        return_to_region();
+        hooks_.on_update(member, std::move(*update));
+        choice_.on_answer(now, member,
+                          is_current ? std::optional(now) : std::nullopt);
+        arm_timer();
     }
 
     /// The answer left its sender after the request was sent here, so that
@@ -148,94 +181,16 @@
         }
     }
 
-    /// Whether a member is known to be in the region of this process.
-    [[nodiscard]] auto is_near(const std::string& address) const -> bool
-    {
-        return std::any_of(members_.begin(), members_.end(),
-                           [&](const auto& member) {
-                               return member.address == address &&
-                                      member.region == options_.region;
-                           });
-    }
-
-    auto return_to_region() -> void
-    {
-        const auto now = steady_now();
-        const auto has_near = std::any_of(
-            members_.begin(), members_.end(), [&](const auto& member) {
-                return member.region == options_.region;
-            });
-        if (has_near && !is_near(followed_) && now >= next_return_) {
-            next_return_ = now + options_.return_interval;
-            attempts_ = 0;
-            follow_next();
-        }
-    }
-
-    auto follow_next() -> void
-    {
-        auto candidates = options_.seeds();
-        for (const auto& member : members_) {
-            candidates.push_back(member.address);
-        }
-        std::sort(candidates.begin(), candidates.end());
-        candidates.erase(std::unique(candidates.begin(), candidates.end()),
-                         candidates.end());
-        // Processes begin with different members, which spreads their load.
-        const auto start = std::hash<std::string>()(options_.address);
-        if (!candidates.empty()) {
-            std::rotate(candidates.begin(),
-                        candidates.begin() + static_cast<std::ptrdiff_t>(
-                                                 start % candidates.size()),
-                        candidates.end());
-            std::stable_partition(
-                candidates.begin(), candidates.end(),
-                [&](const auto& address) { return is_near(address); });
-        }
-        if (candidates.empty()) {
-            return;
-        }
-        if (!followed_.empty()) {
-            const auto now = steady_now();
-            log_event("control_left")
-                .field("member", followed_)
-                .field("was_current", is_followed_current_)
-                .field("view_age_ms",
-                       current_at_ ? to_milliseconds(now - *current_at_) : -1);
-            links_.forget({peer_role::control, followed_});
-        }
-        link_.reset();
-        followed_ = candidates[attempts_++ % candidates.size()];
-        followed_since_ = steady_now();
-        arm_link_timer();
-        is_followed_current_ = false;
-        links_.connect({peer_role::control, followed_},
-                       {asio::ip::make_address(followed_), options_.peer_port});
-    }
-
-    auto arm_link_timer() -> void
-    {
-        link_timer_.expires_after(link_patience);
-        link_timer_.async_wait([weak = weak_from_this()](error_code error) {
-            const auto self = weak.lock();
-            if (self && !error && !self->is_stopped_ && !self->link_) {
-                self->follow_next();
-            }
-        });
-    }
-
     auto arm_timer() -> void
     {
-        timer_.expires_after(options_.interval);
+        const auto wait = choice_.next_tick() - steady_now();
+        timer_.expires_after(std::max(wait, duration(1000)));
         timer_.async_wait([weak = weak_from_this()](error_code error) {
             const auto self = weak.lock();
             if (!self || error || self->is_stopped_) {
                 return;
             }
-            if (steady_now() - self->followed_since_ > member_patience) {
-                self->follow_next();
-            }
-            self->request();
+            self->choice_.tick(steady_now());
             self->arm_timer();
         });
     }
@@ -243,19 +198,15 @@
     view_client_options options_;
     view_client_hooks hooks_;
     asio::steady_timer timer_;
-    asio::steady_timer link_timer_;
     peer_links links_;
-    std::vector<control_member_record> members_;
-    std::string followed_;
-    std::optional<link_id> link_;
-    time_point followed_since_;
-    std::optional<time_point> current_at_;
-    std::size_t attempts_ = 0;
+    member_choice choice_;
+    /// Links to members that are up, by address.
+    std::map<std::string, link_id> open_;
+    /// The member that last said that it is in contact with the leader.
+    std::string current_;
     std::uint64_t last_request_ = 0;
     /// When the latest requests were sent, by number.
     std::map<std::uint64_t, time_point> requested_at_;
-    time_point next_return_;
-    bool is_followed_current_ = false;
     bool is_stopped_ = false;
 };
 
