coordination, transport: judge a view by its age, not by whether it is sent

Callers saw: databases that had been added were denied (404) four seconds after their version was acknowledged, while two control members, the leader among them, were cut off from the others. Cause: freshness was inferred from liveness. A member called itself current for 1.5 s after any message of a leader, also one that had lost its quorum, or when it lacked the entries. A proxy left a member 1.4 s after the last such word, tried the next one as long, and went back to its own region whenever it got any answer. The waits added up to 7 s, and again every 10 s. Change: members ask the leader how much is committed (state_freshness); answers to proxies carry the age of the state instead of a flag, counted back from the request; a proxy with a view older than 1.8 s tries the others while it keeps its member, and moves, or returns to its region, only to one that gave a fresh view (member_choice). Why it works: whoever holds an old state cannot call it new, whatever reaches it, and no step of the search gives up what the proxy has.

--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -54,6 +54,8 @@
     view_update = 98,
     sighting_report = 99,
     proxy_census = 100,
+    freshness_question = 101,
+    freshness_answer = 102,
 };
 
 /// One authenticated message.
--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_PROTOCOL_VIEW_MESSAGES_HPP
 
 #include <rhubarbrun/protocol/strict_archive.hpp>
+#include <rhubarbrun/state/consensus_log.hpp>
 #include <rhubarbrun/state/log_position.hpp>
 #include <rhubarbrun/state/server_record.hpp>
 
@@ -59,6 +60,32 @@
     }
 };
 
+/// Control member to the leader: how much is committed?
+struct freshness_question
+{
+    /// Repeated by the answer. Numbers of one member ascend.
+    std::uint64_t number = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(number);
+    }
+};
+
+/// Only a leader that holds a lease answers.
+struct freshness_answer
+{
+    std::uint64_t number = 0;
+    log_index committed;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(number, committed);
+    }
+};
+
 /// What one proxy or several see of a server; times are in milliseconds before
 /// sending, -1 for never.
 struct sighting_record
@@ -140,9 +167,9 @@
 {
     /// Number of the request that this answers; 0 if there was none.
     std::uint64_t answers = 0;
-    /// Whether the sender is in contact with the leader, so that it learns of
-    /// every accepted configuration.
-    bool is_current = false;
+    /// The sender's state holds everything that was acknowledged up to this
+    /// many milliseconds before sending; rounded up, -1 if it cannot tell.
+    std::int64_t age_ms = -1;
     std::uint64_t configuration_version = 0;
     /// Compressed document; empty if the proxy holds this version.
     std::string configuration;
@@ -159,8 +186,8 @@
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(answers, is_current, configuration_version, configuration,
-                servers, control_members, proxies, positions, detours);
+        archive(answers, age_ms, configuration_version, configuration, servers,
+                control_members, proxies, positions, detours);
     }
 };
 
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -53,9 +53,8 @@
 
 /// Keeps a proxy's view of servers and configuration up to date.
 ///
-/// It follows one control member, of its own region if there is one, and moves
-/// on to another one if that is silent or out of contact with the leader. The
-/// io_context must run on one thread.
+/// It follows one control member, as `member_choice` decides. The io_context
+/// must run on one thread.
 class view_client
 {
 public:
@@ -68,10 +67,13 @@
     auto start() -> void;
     auto stop() -> void;
 
-    /// Since the last update of a member that is in contact with the leader;
-    /// no value if there was none.
+    /// The view holds everything that was acknowledged before this long ago;
+    /// no value if that is not known.
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>;
 
+    /// Whether the view is young enough to deny that something exists.
+    [[nodiscard]] auto is_fresh(time_point now) const -> bool;
+
 private:
     class implementation;
     std::shared_ptr<implementation> implementation_;
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -1,18 +1,26 @@
 #include <rhubarbrun/coordination/member_choice.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace rhubarbrun::inline v1 {
 
 namespace {
 
-/// A member that sent nothing useful for this long is left for another one;
-/// two requests and their round trips.
-constexpr auto member_patience = milliseconds(1400);
-/// Time for a member to accept a link, with several round trips between
-/// regions.
-constexpr auto link_patience = milliseconds(300);
+/// Time for a member to accept a link and to answer, which takes several round
+/// trips between regions.
+constexpr auto first_patience = milliseconds(350);
+/// The same in further searches, for processes that are short of processor
+/// time.
+constexpr auto later_patience = milliseconds(700);
+/// Pause after a search that found no fresh view, as while no member leads.
+constexpr auto first_pause = milliseconds(500);
+constexpr auto later_pause = milliseconds(1000);
+/// A followed member whose view is older than usual is asked more often: after
+/// a change of leader it is soon fresh again.
+constexpr auto usual_age = milliseconds(1000);
+constexpr auto short_interval = milliseconds(200);
 
 } // namespace
 
@@ -25,57 +33,102 @@
 auto member_choice::start(time_point now) -> void
 {
     next_request_ = now + options_.interval;
-    follow_next(now, "start");
+    next_return_ = now;
+    search(now);
 }
 
 auto member_choice::tick(time_point now) -> void
 {
-    if (now >= link_deadline_) {
-        follow_next(now, "no_link");
+    if (trial_ && now >= trial_->deadline) {
+        end_trial("no_answer");
+        try_next(now);
+    }
+    if (!trial_ && now >= next_search_ && (followed_.empty() || !is_fresh(now)))
+    {
+        search(now);
     }
     if (now < next_request_) {
         return;
     }
-    next_request_ = now + options_.interval;
-    if (now - followed_since_ > member_patience) {
-        follow_next(now, "no_news");
-    }
-    if (is_linked_) {
+    next_request_ = now + request_interval(now);
+    if (!followed_.empty()) {
         hooks_.request(followed_);
     }
 }
 
 auto member_choice::next_tick() const -> time_point
 {
-    return std::min(next_request_, link_deadline_);
+    auto next = next_request_;
+    if (trial_) {
+        next = std::min(next, trial_->deadline);
+    } else if (followed_.empty() || !covered_) {
+        next = std::min(next, next_search_);
+    } else {
+        next =
+            std::min(next, std::max(next_search_, *covered_ + fresh_view_limit +
+                                                      duration(1)));
+    }
+    return next;
 }
 
-auto member_choice::on_link_up(time_point, const std::string& address) -> void
+auto member_choice::on_link_up(const std::string& address) -> void
 {
-    if (address != followed_) {
-        return;
+    if (trial_ && trial_->address == address) {
+        hooks_.request(address);
     }
-    is_linked_ = true;
-    link_deadline_ = time_point::max();
-    hooks_.request(followed_);
 }
 
 auto member_choice::on_link_down(time_point now, const std::string& address)
     -> void
 {
-    if (address == followed_ && is_linked_) {
-        follow_next(now, "link_down");
+    if (trial_ && trial_->address == address) {
+        end_trial("link_down");
+        try_next(now);
+    } else if (address == followed_) {
+        hooks_.log_left(address, "link_down");
+        hooks_.forget(address);
+        followed_.clear();
+        if (!trial_) {
+            search(now);
+        }
     }
 }
 
-auto member_choice::on_answer(time_point now, const std::string&,
+auto member_choice::on_answer(time_point now, const std::string& address,
                               std::optional<time_point> covered) -> void
 {
-    if (covered) {
+    const auto is_tried = trial_ && trial_->address == address;
+    if (!is_tried && address != followed_) {
+        return;
+    }
+    if (covered && (!covered_ || *covered > *covered_)) {
         covered_ = covered;
-        followed_since_ = now;
     }
-    return_to_region(now);
+    const auto is_good = covered && now - *covered <= fresh_view_limit;
+    if (is_good) {
+        searches_ = 0;
+    }
+    if (is_tried) {
+        if (is_good) {
+            untried_.clear();
+            follow_trial("fresher_member");
+        } else if (followed_.empty()) {
+            // An old view is better than none while the search goes on.
+            follow_trial("none");
+            try_next(now);
+        } else {
+            end_trial("old_view");
+            try_next(now);
+        }
+    } else if (is_good && trial_) {
+        untried_.clear();
+        if (is_near(followed_) || !is_near(trial_->address)) {
+            end_trial("not_needed");
+        }
+    }
+    if (is_good && !trial_ && !is_near(followed_) && now >= next_return_) {
+        try_return(now);
+    }
 }
 
 auto member_choice::set_members(std::vector<member_location> members) -> void
@@ -92,49 +145,85 @@
                        });
 }
 
-auto member_choice::return_to_region(time_point now) -> void
+auto member_choice::candidates() const -> std::vector<std::string>
 {
-    const auto has_near =
-        std::any_of(members_.begin(), members_.end(), [&](const auto& member) {
-            return member.region == options_.region;
-        });
-    if (has_near && !is_near(followed_) && now >= next_return_) {
-        next_return_ = now + options_.return_interval;
-        attempts_ = 0;
-        follow_next(now, "other_region");
+    auto result = options_.seeds();
+    for (const auto& member : members_) {
+        result.push_back(member.address);
     }
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    if (!result.empty()) {
+        // Processes begin with different members, which spreads their load.
+        const auto first =
+            std::hash<std::string>()(options_.address) % result.size();
+        std::rotate(result.begin(),
+                    result.begin() + static_cast<std::ptrdiff_t>(first),
+                    result.end());
+    }
+    std::stable_partition(result.begin(), result.end(),
+                          [&](const auto& each) { return is_near(each); });
+    std::erase(result, followed_);
+    return result;
 }
 
-auto member_choice::follow_next(time_point now, const std::string& reason)
-    -> void
+auto member_choice::request_interval(time_point now) const -> duration
 {
-    auto candidates = options_.seeds();
-    for (const auto& member : members_) {
-        candidates.push_back(member.address);
-    }
-    std::sort(candidates.begin(), candidates.end());
-    candidates.erase(std::unique(candidates.begin(), candidates.end()),
-                     candidates.end());
-    if (candidates.empty()) {
+    const auto is_usual = covered_ && now - *covered_ <= usual_age;
+    return is_usual ? options_.interval
+                    : std::min<duration>(options_.interval, short_interval);
+}
+
+auto member_choice::trial_patience() const -> duration
+{
+    return searches_ > 1 ? later_patience : first_patience;
+}
+
+auto member_choice::search(time_point now) -> void
+{
+    untried_ = candidates();
+    std::reverse(untried_.begin(), untried_.end());
+    ++searches_;
+    try_next(now);
+}
+
+auto member_choice::try_return(time_point now) -> void
+{
+    next_return_ = now + options_.return_interval;
+    untried_ = candidates();
+    std::erase_if(untried_, [&](const auto& each) { return !is_near(each); });
+    std::reverse(untried_.begin(), untried_.end());
+    try_next(now);
+}
+
+auto member_choice::try_next(time_point now) -> void
+{
+    if (untried_.empty()) {
+        if (!is_fresh(now)) {
+            next_search_ = now + (searches_ > 1 ? later_pause : first_pause);
+        }
         return;
     }
-    // Processes begin with different members, which spreads their load.
-    const auto first =
-        std::hash<std::string>()(options_.address) % candidates.size();
-    std::rotate(candidates.begin(),
-                candidates.begin() + static_cast<std::ptrdiff_t>(first),
-                candidates.end());
-    std::stable_partition(candidates.begin(), candidates.end(),
-                          [&](const auto& each) { return is_near(each); });
+    trial_ = trial{std::move(untried_.back()), now + trial_patience()};
+    untried_.pop_back();
+    hooks_.connect(trial_->address);
+}
+
+auto member_choice::end_trial(std::string_view reason) -> void
+{
+    hooks_.log_left(trial_->address, reason);
+    hooks_.forget(trial_->address);
+    trial_.reset();
+}
+
+auto member_choice::follow_trial(std::string_view reason) -> void
+{
     if (!followed_.empty()) {
         hooks_.log_left(followed_, reason);
         hooks_.forget(followed_);
     }
-    is_linked_ = false;
-    followed_ = candidates[attempts_++ % candidates.size()];
-    followed_since_ = now;
-    link_deadline_ = now + link_patience;
-    hooks_.connect(followed_);
+    followed_ = std::move(trial_->address);
+    trial_.reset();
 }
 
 } // namespace rhubarbrun::inline v1
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -185,6 +185,7 @@
         carry_out(ready);
     }
     is_pumping_ = false;
+    freshness_.on_applied(applied_);
     follow_leadership();
     finish_reads(steady_now());
     if (applied_.value() - snapshot_index_.value() >= entries_per_snapshot) {
@@ -261,13 +262,16 @@
         .field("durable_on", copies);
 }
 
-auto configuration_node::implementation::log_leader_contact() -> void
+auto configuration_node::implementation::log_freshness(time_point now) -> void
 {
-    if (is_current() == was_current_) {
+    const auto age = state_age(now);
+    const auto is_fresh = age && *age <= fresh_view_limit;
+    if (is_fresh == was_fresh_) {
         return;
     }
-    was_current_ = !was_current_;
-    log_event(was_current_ ? "leader_contact" : "leader_contact_lost")
+    was_fresh_ = is_fresh;
+    log_event(is_fresh ? "state_fresh" : "state_old")
+        .field("age_ms", age ? to_milliseconds(*age) : -1)
         .field("leader", leader().value_or(std::string()))
         .field("configuration", history_.newest().version);
 }
@@ -383,7 +387,8 @@
             }
             if (at >= self->next_supervision_) {
                 self->next_supervision_ = at + supervision_interval;
-                self->log_leader_contact();
+                self->refresh_state(at);
+                self->log_freshness(at);
                 self->supervisor_.tick(at, self->directory_);
                 self->tell_leader(at);
                 if (!self->proxies_.empty()) {
@@ -422,6 +427,8 @@
                    {"role", to_string(status.role)},
                    {"term", status.current.value()},
                    {"applied", applied_.value()},
+                   {"age_ms",
+                    to_milliseconds(state_age(now).value_or(milliseconds(-1)))},
                    {"configuration", history_.newest().version},
                    {"members", std::move(members)},
                    {"proxies", static_cast<std::int64_t>(proxies_.size())},
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -2,7 +2,9 @@
 #define RHUBARBRUN_SRC_TRANSPORT_CONFIGURATION_NODE_IMPLEMENTATION_HPP
 
 #include <rhubarbrun/coordination/consensus.hpp>
+#include <rhubarbrun/coordination/member_choice.hpp>
 #include <rhubarbrun/coordination/sighting_digest.hpp>
+#include <rhubarbrun/coordination/state_freshness.hpp>
 #include <rhubarbrun/protocol/view_messages.hpp>
 #include <rhubarbrun/transport/configuration_node.hpp>
 #include <rhubarbrun/transport/log_files.hpp>
@@ -116,8 +118,8 @@
     /// Logs which members hold the submission on disk.
     auto log_acknowledged(const pending_submission& submission,
                           log_index index) const -> void;
-    /// Logs when contact with the leader begins or ends.
-    auto log_leader_contact() -> void;
+    /// Logs when the state begins or ceases to be fresh.
+    auto log_freshness(time_point now) -> void;
     [[nodiscard]] auto proxy_count() const -> std::uint32_t;
     /// `answered` is the request, null if there is none.
     auto send_update(link_id link, subscriber& to, const view_request* answered)
@@ -130,7 +132,13 @@
     /// Passes on what this member's proxies see of the servers.
     auto tell_leader(time_point now) -> void;
     auto push_updates() -> void;
-    [[nodiscard]] auto is_current() const -> bool;
+    /// Notes that the state is the newest, or asks the leader how new it is.
+    auto refresh_state(time_point now) -> void;
+    auto answer_freshness(const link_info& link,
+                          const freshness_question& question) -> void;
+    /// Age of the state; no value if it is not known.
+    [[nodiscard]] auto state_age(time_point now) const
+        -> std::optional<duration>;
     [[nodiscard]] auto member_names() const -> std::vector<std::string>;
 
     auto run(const std::function<void()>& work) -> void;
@@ -150,6 +158,7 @@
     server_cache cache_;
     peer_links links_;
     std::unique_ptr<consensus_member> member_;
+    state_freshness freshness_;
     configuration_history history_;
     server_directory directory_;
     primary_supervisor supervisor_;
@@ -168,9 +177,8 @@
     log_index snapshot_index_;
     time_point next_look_;
     time_point next_supervision_;
-    time_point leader_heard_at_;
     bool was_leading_ = false;
-    bool was_current_ = false;
+    bool was_fresh_ = false;
     bool is_stopped_ = false;
     bool is_pumping_ = false;
 };
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// A member that heard the leader within this time learns of new
-/// configurations.
-constexpr auto leader_silence_limit = milliseconds(1500);
 /// The file of known servers is written at most this often.
 constexpr auto cache_interval = milliseconds(250);
 /// Proxies that a member names as a way to one server.
@@ -137,12 +134,7 @@
         switch (type) {
         case message_type::consensus:
             if (auto message = decode<consensus_message>(payload)) {
-                const auto now = steady_now();
-                const auto known = member_->leader();
-                if (known && known->id == message->from.id) {
-                    leader_heard_at_ = now;
-                }
-                member_->step(now, std::move(*message));
+                member_->step(steady_now(), std::move(*message));
             }
             break;
         case message_type::server_announcements:
@@ -152,6 +144,16 @@
                 }
             }
             break;
+        case message_type::freshness_question:
+            if (const auto message = decode<freshness_question>(payload)) {
+                answer_freshness(link, *message);
+            }
+            break;
+        case message_type::freshness_answer:
+            if (const auto message = decode<freshness_answer>(payload)) {
+                freshness_.on_answer(message->number, message->committed);
+            }
+            break;
         case message_type::view_request:
             if (const auto message = decode<view_request>(payload)) {
                 on_view_request(link, *message);
@@ -254,18 +256,50 @@
                 encode(report));
 }
 
-auto configuration_node::implementation::is_current() const -> bool
+auto configuration_node::implementation::refresh_state(time_point now) -> void
 {
-    const auto now = steady_now();
-    return member_->is_leader() ? member_->has_leader_lease(now)
-                                : now - leader_heard_at_ < leader_silence_limit;
+    if (member_->is_leader()) {
+        if (member_->has_leader_lease(now)) {
+            freshness_.on_leading(now);
+        }
+        return;
+    }
+    const auto known = leader();
+    if (!known) {
+        return;
+    }
+    if (const auto number = freshness_.ask(now)) {
+        links_.send({peer_role::control, *known},
+                    message_type::freshness_question,
+                    encode(freshness_question{*number}));
+    }
+}
+
+auto configuration_node::implementation::answer_freshness(
+    const link_info& link, const freshness_question& question) -> void
+{
+    // What is applied here includes everything that was acknowledged.
+    if (member_->is_leader() && member_->has_leader_lease(steady_now())) {
+        links_.send(link.id, message_type::freshness_answer,
+                    encode(freshness_answer{question.number, applied_}));
+    }
+}
+
+auto configuration_node::implementation::state_age(time_point now) const
+    -> std::optional<duration>
+{
+    const auto covered = freshness_.covered();
+    return covered ? std::optional(now - *covered) : std::nullopt;
 }
 
 auto configuration_node::implementation::send_update(
     link_id link, subscriber& to, const view_request* answered) -> void
 {
+    refresh_state(steady_now());
     auto update = view_update{};
-    update.is_current = is_current();
+    if (const auto age = state_age(steady_now())) {
+        update.age_ms = to_milliseconds(*age) + 1;
+    }
     update.configuration_version = history_.newest().version;
     if (to.configuration_version < history_.newest().version) {
         update.configuration = history_.newest().packed;
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Answers to older requests than these tell no positions.
-constexpr auto requests_remembered = std::size_t{4};
+/// Answers to older requests than these tell no positions and no age.
+constexpr auto requests_remembered = std::size_t{16};
 
 } // namespace
 
@@ -39,15 +39,14 @@
                       on_link_down(link, reason);
                   }},
                  options_.links),
-          choice_(
-              {options_.address, options_.region, options_.seeds,
-               options_.interval, options_.return_interval},
-              {[this](const std::string& member) { connect(member); },
-               [this](const std::string& member) { forget(member); },
-               [this](const std::string& member) { request(member); },
-               [this](const std::string& member, const std::string& reason) {
-                   log_left(member, reason);
-               }})
+          choice_({options_.address, options_.region, options_.seeds,
+                   options_.interval, options_.return_interval},
+                  {[this](const std::string& member) { connect(member); },
+                   [this](const std::string& member) { forget(member); },
+                   [this](const std::string& member) { request(member); },
+                   [this](const std::string& member, std::string_view reason) {
+                       log_left(member, reason);
+                   }})
     {
     }
 
@@ -70,6 +69,11 @@
         return covered ? std::optional(now - *covered) : std::nullopt;
     }
 
+    [[nodiscard]] auto is_fresh(time_point now) const -> bool
+    {
+        return choice_.is_fresh(now);
+    }
+
 private:
     auto connect(const std::string& member) -> void
     {
@@ -100,21 +104,20 @@
         links_.send(link->second, message_type::view_request, encode(message));
     }
 
-    auto log_left(const std::string& member, const std::string& reason) -> void
+    auto log_left(const std::string& member, std::string_view reason) -> void
     {
         const auto view_age = age(steady_now());
         log_event("control_left")
             .field("member", member)
             .field("reason", reason)
             .field("view_age_ms", view_age ? to_milliseconds(*view_age) : -1);
-        current_.clear();
     }
 
     auto on_link_up(const link_info& link) -> void
     {
         const auto& member = link.peer.who.name;
         open_[member] = link.id;
-        choice_.on_link_up(steady_now(), member);
+        choice_.on_link_up(member);
         arm_timer();
     }
 
@@ -126,9 +129,12 @@
             return;
         }
         open_.erase(found);
-        log_event("control_lost", event_severity::warning)
-            .field("member", member)
-            .field("reason", reason);
+        if (member == choice_.followed()) {
+            log_event("control_lost", event_severity::warning)
+                .field("member", member)
+                .field("reason", reason);
+            logged_.clear();
+        }
         choice_.on_link_down(steady_now(), member);
         arm_timer();
     }
@@ -146,10 +152,6 @@
                 .field("member", member);
             return;
         }
-        if (update->is_current && current_ != member) {
-            current_ = member;
-            log_event("control_followed").field("member", member);
-        }
         if (!update->control_members.empty()) {
             auto members = std::vector<member_location>();
             for (const auto& each : update->control_members) {
@@ -157,17 +159,31 @@
             }
             choice_.set_members(std::move(members));
         }
-        const auto now = steady_now();
-        const auto is_current = update->is_current;
+        const auto asked = requested_at_.find(update->answers);
+        const auto is_answer = asked != requested_at_.end();
+        auto covered = std::optional<time_point>();
+        if (is_answer && update->age_ms >= 0) {
+            covered = asked->second - milliseconds(update->age_ms);
+        }
         tell_positions(*update);
         hooks_.on_update(member, std::move(*update));
-        choice_.on_answer(now, member,
-                          is_current ? std::optional(now) : std::nullopt);
-        arm_timer();
+        if (is_answer) {
+            choice_.on_answer(steady_now(), member, covered);
+            log_followed();
+            arm_timer();
+        }
+    }
+
+    auto log_followed() -> void
+    {
+        if (choice_.followed() != logged_) {
+            logged_ = choice_.followed();
+            log_event("control_followed").field("member", logged_);
+        }
     }
 
     /// The answer left its sender after the request was sent here, so that
-    /// counting an observation's age back from then makes it no younger.
+    /// counting an age back from then makes nothing younger than it is.
     auto tell_positions(const view_update& update) -> void
     {
         const auto asked = requested_at_.find(update.answers);
@@ -202,8 +218,8 @@
     member_choice choice_;
     /// Links to members that are up, by address.
     std::map<std::string, link_id> open_;
-    /// The member that last said that it is in contact with the leader.
-    std::string current_;
+    /// The member that the log last called followed.
+    std::string logged_;
     std::uint64_t last_request_ = 0;
     /// When the latest requests were sent, by number.
     std::map<std::uint64_t, time_point> requested_at_;
@@ -232,6 +248,11 @@
     implementation_->stop();
 }
 
+auto view_client::is_fresh(time_point now) const -> bool
+{
+    return implementation_->is_fresh(now);
+}
+
 auto view_client::age(time_point now) const -> std::optional<duration>
 {
     return implementation_->age(now);
--- a/tests/coordination/view_freshness_test.cpp
+++ b/tests/coordination/view_freshness_test.cpp
@@ -1,6 +1,7 @@
 #include "consensus_network.hpp"
 
 #include <rhubarbrun/coordination/member_choice.hpp>
+#include <rhubarbrun/coordination/state_freshness.hpp>
 
 #include <doctest/doctest.h>
 
@@ -91,6 +92,10 @@
                 const auto event = events_.extract(events_.begin());
                 event.mapped()();
             }
+            for (auto member = std::size_t{0}; member < regions.size();
+                 ++member) {
+                refresh(member);
+            }
             push();
             for (const auto& each : proxies_) {
                 if (now() >= each->choice->next_tick()) {
@@ -175,7 +180,7 @@
                 if (network_.is_running(number(member)) &&
                     self.wanted.contains(member)) {
                     self.links.insert(number(member));
-                    self.choice->on_link_up(now(), member);
+                    self.choice->on_link_up(member);
                 }
             });
         };
@@ -186,7 +191,7 @@
         hooks.request = [this, &self](const std::string& member) {
             request(self, number(member));
         };
-        hooks.log_left = [](const std::string&, const std::string&) {
+        hooks.log_left = [](const std::string&, std::string_view) {
         };
         self.choice = std::make_unique<member_choice>(std::move(options),
                                                       std::move(hooks));
@@ -199,7 +204,11 @@
             if (!network_.is_running(to)) {
                 return;
             }
-            const auto covered = covered_by(to, asked);
+            // The age is counted back from when the request was sent.
+            auto covered = freshness_.at(to).covered();
+            if (covered) {
+                covered = asked - (now() - *covered);
+            }
             const auto version = network_.applied(to);
             later(one_way, [this, &from, to, covered, version] {
                 if (!from.links.contains(to)) {
@@ -217,30 +226,56 @@
         });
     }
 
-    /// What the member says of its state when it answers.
-    auto covered_by(std::size_t member, time_point) -> std::optional<time_point>
+    /// As a control process: the leader knows that its state is the newest,
+    /// the others ask it.
+    auto refresh(std::size_t member) -> void
     {
-        const auto is_leader = network_.member(member).is_leader();
-        const auto is_current =
-            is_leader ? network_.has_lease(member)
-                      : now() - heard_.at(member) < milliseconds(1500);
-        return is_current ? std::optional(now()) : std::nullopt;
+        if (!network_.is_running(member)) {
+            freshness_.at(member) = state_freshness();
+            return;
+        }
+        auto& freshness = freshness_.at(member);
+        freshness.on_applied(log_index(network_.applied(member)));
+        if (network_.has_lease(member)) {
+            freshness.on_leading(now());
+        }
+        const auto leader = network_.member(member).leader();
+        if (!leader || network_.member(member).is_leader()) {
+            return;
+        }
+        const auto to = number(leader->id.value());
+        if (const auto asked = freshness.ask(now())) {
+            later(one_way, [this, member, to, question = *asked] {
+                answer_freshness(member, to, question);
+            });
+        }
     }
 
-    auto is_lost(const consensus_message& message) -> bool
+    auto answer_freshness(std::size_t from, std::size_t leader,
+                          std::uint64_t question) -> void
     {
-        const auto from = number(message.from.id.value());
-        const auto to = number(message.to.id.value());
-        if (muted_.contains(from)) {
-            return true;
+        if (!has_path(from, leader) || !network_.is_running(leader) ||
+            !network_.has_lease(leader))
+        {
+            return;
         }
-        if (parts_.at(from) == parts_.at(to) && network_.is_running(to)) {
-            const auto leader = network_.member(to).leader();
-            if (leader && leader->id == message.from.id) {
-                heard_.at(to) = now();
+        const auto committed = log_index(network_.applied(leader));
+        later(one_way, [this, from, leader, question, committed] {
+            if (has_path(leader, from)) {
+                freshness_.at(from).on_answer(question, committed);
             }
-        }
-        return false;
+        });
+    }
+
+    auto has_path(std::size_t from, std::size_t to) const -> bool
+    {
+        return !muted_.contains(from) && parts_.at(from) == parts_.at(to);
+    }
+
+    auto is_lost(const consensus_message& message) -> bool
+    {
+        const auto from = number(message.from.id.value());
+        return muted_.contains(from);
     }
 
     /// Lets the leader add a change, and records what is acknowledged.
@@ -296,7 +331,7 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::size_t> parts_ = std::vector<std::size_t>(5, 0);
     std::set<std::size_t> muted_;
-    std::array<time_point, 5> heard_{};
+    std::array<state_freshness, 5> freshness_;
     std::array<std::uint64_t, 5> pushed_{};
     std::map<std::uint64_t, time_point> acknowledged_at_;
     std::uint64_t acknowledged_ = 0;
@@ -341,6 +376,25 @@
     }
 }
 
+TEST_CASE("view freshness: each proxy takes each change in time while any two "
+          "members are down")
+{
+    for (auto first = std::size_t{0}; first < regions.size(); ++first) {
+        for (auto second = first + 1; second < regions.size(); ++second) {
+            auto group = followed_group(first * 5 + second + 100);
+            group.run(std::chrono::seconds(4));
+            group.forget_lag();
+            group.crash(first);
+            group.run(std::chrono::seconds(3));
+            group.crash(second);
+            group.run(std::chrono::seconds(9));
+            CAPTURE(first);
+            CAPTURE(second);
+            CHECK(group.longest_lag() < effect_limit);
+        }
+    }
+}
+
 TEST_CASE("view freshness: members that return with old state or none hold no "
           "proxy back")
 {
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -198,6 +198,12 @@
         [&](const std::optional<std::string>& text) { newest = text; });
     CHECK(group.run_until([&] { return newest.has_value(); }));
     CHECK(*newest == "seven");
+    CHECK(group.run_until([&] { return proxy.is_fresh(steady_now()); }));
+    for (auto* each : members) {
+        each->stop();
+    }
+    INFO("nobody can tell whether the view is still the newest");
+    CHECK(group.run_until([&] { return !proxy.is_fresh(steady_now()); }));
     proxy.stop();
 }
 
