platform: check a route although its database has another one

Cause: such a route is not used, and was dropped before it was checked. Result: the state and platform tests pass. What is invalid is refused whether or not it would be used.

--- a/include/rhubarbrun/state/service_configuration.hpp
+++ b/include/rhubarbrun/state/service_configuration.hpp
@@ -92,9 +92,15 @@
         -> const database_route*;
 };
 
-/// Adds a route and checks it against the groups of `configuration`.
-/// @throws configuration_error if its group is not known, its database has a
-/// route already, or its statement timeout is not positive.
+/// Checks a route against the groups of `configuration`.
+/// @throws configuration_error if its group is not known or its statement
+/// timeout is not positive.
+auto check_route(const service_configuration& configuration,
+                 const database_route& route) -> void;
+
+/// Adds a route.
+/// @throws configuration_error if `check_route` does, or if its database has a
+/// route already.
 auto add_route(service_configuration& configuration, database_route route)
     -> void;
 
--- a/src/state/service_configuration.cpp
+++ b/src/state/service_configuration.cpp
@@ -11,8 +11,8 @@
     return found == routes.end() ? nullptr : &found->second;
 }
 
-auto add_route(service_configuration& configuration, database_route route)
-    -> void
+auto check_route(const service_configuration& configuration,
+                 const database_route& route) -> void
 {
     if (!configuration.groups.contains(route.group)) {
         throw configuration_error("route " + route.name +
@@ -23,6 +23,12 @@
         throw configuration_error("the statement timeout of route " +
                                   route.name + " is not positive");
     }
+}
+
+auto add_route(service_configuration& configuration, database_route route)
+    -> void
+{
+    check_route(configuration, route);
     const auto name = route.name;
     const auto database = route.database;
     const auto [place, is_new] =
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -48,6 +48,28 @@
     CHECK(read.transaction_idle_limit == milliseconds(3000));
 }
 
+// Such a configuration was acknowledged, as the route is not used.
+TEST_CASE("documents: an invalid route is refused although its database has "
+          "another route")
+{
+    const auto with_route = [](const std::string& service, int timeout_ms) {
+        return replaced(
+            configuration_text, "\"maxStalenessMs\":2500}",
+            R"("maxStalenessMs":2500},{"name":"r2","host":"db1",)"
+            R"("pathPrefix":"/other","type":"primary","timeoutMs":)" +
+                std::to_string(timeout_ms) + R"(,"service":")" + service +
+                R"("})");
+    };
+    const auto refuse = [](const std::string& text) {
+        CHECK_THROWS_AS(static_cast<void>(parse_configuration(text)),
+                        configuration_error);
+    };
+    CHECK_NOTHROW(
+        static_cast<void>(parse_configuration(with_route("g1", 1000))));
+    refuse(with_route("unknown", 1000));
+    refuse(with_route("g1", 0));
+}
+
 TEST_CASE("documents: an invalid configuration is refused")
 {
     const auto refuse = [](const std::string& text) {
