coordination, platform: deny a database only on a fresh view

Callers saw: "there is no such database" for databases that a version known elsewhere had added; the proxy that said so knew that it had had no news for 7 s. Cause: the answer was taken from whatever configuration was held, however old. Known databases are served as before, so that callers are served while control is away. What a proxy does not know for certain it no longer states.

--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -52,10 +52,24 @@
     server_pool::open_function open;
     server_pool::close_function close;
     std::function<void(const relay_decision&)> log;
+    /// Whether the configuration is certain enough to deny a database; empty
+    /// if it always is.
+    std::function<bool()> may_deny = {};
     /// Reports a served statement and the time since its arrival.
     std::function<void(read_consistency, duration)> on_served = {};
 };
 
+/// What to do with a session that starts.
+enum class start_verdict : std::uint8_t
+{
+    open,
+    no_database,
+    /// A newer configuration may have the database; judge again.
+    wait,
+    /// The caller is to come back.
+    retry,
+};
+
 /// Counters of a `session_relay` since its start.
 struct relay_counters
 {
@@ -101,8 +115,10 @@
         pool_.set_detours(server, std::move(addresses));
     }
 
-    /// Whether the database of a new session has a route.
-    [[nodiscard]] auto has_database(const database_id& database) const -> bool;
+    /// Judges a session that asked at `arrived` for the database.
+    [[nodiscard]] auto judge_start(time_point now, time_point arrived,
+                                   const database_id& database) const
+        -> start_verdict;
     auto start_session(time_point now, session_id id, database_id database)
         -> void;
     /// Ends a session whose caller disconnected; an open transaction is rolled
@@ -259,6 +275,9 @@
     auto answer_error(time_point now, session& caller, relay_error error,
                       std::string_view text) -> void;
     auto finish(time_point now, session& caller, relay_reply reply) -> void;
+    /// Answers a statement whose database has no route.
+    auto deny(time_point now, session& caller) -> void;
+    [[nodiscard]] auto may_deny() const -> bool;
     [[nodiscard]] auto find_route(const database_id& database) const
         -> route_reference;
     [[nodiscard]] static auto status_of(const session& caller)
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -4,6 +4,14 @@
 
 namespace rhubarbrun::inline v1 {
 
+namespace {
+
+/// A session may wait for this long until it is certain whether its database
+/// exists; callers give up after two seconds.
+constexpr auto start_patience = milliseconds(1400);
+
+} // namespace
+
 session_relay::session_relay(server_pool_options options, relay_hooks hooks)
     : hooks_(std::move(hooks)),
       pool_(std::move(options), hooks_.open, [this](connection_id id) {
@@ -34,9 +42,34 @@
     serve_waiting(now, record.group);
 }
 
-auto session_relay::has_database(const database_id& database) const -> bool
+auto session_relay::judge_start(time_point now, time_point arrived,
+                                const database_id& database) const
+    -> start_verdict
+{
+    if (configuration_ && configuration_->find(database) != nullptr) {
+        return start_verdict::open;
+    }
+    if (configuration_ && may_deny()) {
+        return start_verdict::no_database;
+    }
+    return now - arrived < start_patience ? start_verdict::wait
+                                          : start_verdict::retry;
+}
+
+auto session_relay::may_deny() const -> bool
+{
+    return !hooks_.may_deny || hooks_.may_deny();
+}
+
+auto session_relay::deny(time_point now, session& caller) -> void
 {
-    return configuration_ && configuration_->find(database) != nullptr;
+    if (may_deny()) {
+        answer_error(now, caller, relay_error::no_database,
+                     "there is no such database");
+    } else {
+        answer_error(now, caller, relay_error::retry,
+                     "the configuration may be outdated");
+    }
 }
 
 auto session_relay::find_route(const database_id& database) const
@@ -155,8 +188,7 @@
     auto opened = transaction{};
     opened.route = find_route(caller.database);
     if (opened.route.route == nullptr) {
-        answer_error(now, caller, relay_error::no_database,
-                     "there is no such database");
+        deny(now, caller);
         return;
     }
     opened.is_read_only = statement.is_read_only;
@@ -215,8 +247,7 @@
     started.route =
         caller.open ? caller.open->route : find_route(caller.database);
     if (started.route.route == nullptr) {
-        answer_error(now, caller, relay_error::no_database,
-                     "there is no such database");
+        deny(now, caller);
         return;
     }
     started.statement = std::move(statement);
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -202,6 +202,8 @@
     std::size_t opened = 0;
     /// Whether connections through other processes can be opened.
     bool detours_open = false;
+    /// Whether the configuration is certain to be the newest.
+    bool may_deny = true;
     /// Whether requested connections stay pending.
     bool is_holding = false;
     session_relay relay;
@@ -231,6 +233,9 @@
             ways_[id] = detour;
             opening_.push_back(id);
         };
+        hooks.may_deny = [this] {
+            return may_deny;
+        };
         hooks.close = [this](connection_id id) {
             closed_connections.push_back(id);
         };
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -4,6 +4,36 @@
 
 namespace rhubarbrun_tests {
 
+// A proxy that lacked news denied databases that had been added meanwhile.
+TEST_CASE("session relay: a database is denied only by a configuration that is "
+          "certain to be the newest")
+{
+    auto harness = relay_harness();
+    const auto added = database_id("added");
+    const auto arrived = harness.now;
+    const auto judge = [&] {
+        return harness.relay.judge_start(harness.now, arrived, added);
+    };
+    CHECK(judge() == start_verdict::no_database);
+    harness.may_deny = false;
+    CHECK(judge() == start_verdict::wait);
+    CHECK(harness.relay.judge_start(harness.now, arrived,
+                                    database_id("orders")) ==
+          start_verdict::open);
+    harness.pass(milliseconds(1500));
+    INFO("callers give up after two seconds");
+    CHECK(judge() == start_verdict::retry);
+
+    const auto id = harness.start("added");
+    harness.ask(id, relay_step::read, "1a4");
+    CHECK(harness.last_reply(id).error == relay_error::retry);
+    harness.ask(id, relay_step::begin);
+    CHECK(harness.last_reply(id).error == relay_error::retry);
+    harness.may_deny = true;
+    harness.ask(id, relay_step::begin);
+    CHECK(harness.last_reply(id).error == relay_error::no_database);
+}
+
 TEST_CASE("session relay: values and names are answered without a server")
 {
     auto harness = relay_harness();
