soak: probes for added databases, series of signals and changes, more processes

Cause: the soak read configurations back only from control members, so that a proxy which lags, or denies what it has served, was no finding; faults came one at a time for each process. Change: a prober asks proxies for databases that the last versions added. A denial 3 s after the acknowledgement, or of what the process has served, breaks CONFIG, however the proxy was harmed. Series of SIGHUP, pauses and SIGTERM, and of changes, overlap with all other faults.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,6 +15,8 @@
 ABSL_FLAG(std::uint64_t, count, 1, "Soaks, with ascending seeds");
 ABSL_FLAG(std::uint32_t, base_port, 20000, "First of seven ports");
 ABSL_FLAG(std::uint32_t, fault_seconds, 12, "Time in which faults begin");
+ABSL_FLAG(std::uint32_t, controls, 3, "Control members, 3 to 9");
+ABSL_FLAG(std::uint32_t, proxies, 4, "Proxies, 1 to 150");
 
 namespace {
 
@@ -33,6 +35,8 @@
             static_cast<std::uint16_t>(absl::GetFlag(FLAGS_base_port));
         options.faults =
             std::chrono::seconds(absl::GetFlag(FLAGS_fault_seconds));
+        options.controls = absl::GetFlag(FLAGS_controls);
+        options.proxies = absl::GetFlag(FLAGS_proxies);
         const auto failures = rhubarbrun_soak::soak_run(options).run();
         failed += failures > 0 ? 1 : 0;
     }
--- a/tests/soak/managed_process.cpp
+++ b/tests/soak/managed_process.cpp
@@ -32,6 +32,7 @@
 
 auto managed_process::start() -> void
 {
+    ++starts_;
     auto variable = "RHUBARBRUN_NODE_FILE=" + settings_.string();
     auto program = program_.string();
     auto arguments =
--- a/tests/soak/managed_process.hpp
+++ b/tests/soak/managed_process.hpp
@@ -32,7 +32,11 @@
         return process_ > 0;
     }
 
+    /// How often it was started.
+    [[nodiscard]] auto starts() const noexcept -> unsigned { return starts_; }
+
 private:
+    unsigned starts_ = 0;
     std::filesystem::path program_;
     std::string role_;
     std::filesystem::path settings_;
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -17,11 +17,10 @@
 north-a = "north"
 south-a = "south"
 west-a = "west"
-[faultTolerance]
-machines = 1
 [bounds]
 graceS = 6
-)";
+[faultTolerance]
+machines = )";
 
 } // namespace
 
@@ -32,7 +31,7 @@
 
 auto proxy_address(std::size_t index) -> std::string
 {
-    return "127.0.0." + std::to_string(21 + index);
+    return "127.0.0." + std::to_string(61 + index);
 }
 
 auto server_address(std::size_t index) -> std::string
@@ -99,7 +98,7 @@
              << "\nreadiness = " << endpoint(ports_.health()) << '\n';
     }
     file << "[cloud]\naddress = \"127.0.0.1:" << ports_.promotions() << "\"\n"
-         << settings_tail;
+         << settings_tail << (controls_ - 1) / 2 << '\n';
     file.close();
     std::filesystem::rename(written, node.settings);
 }
@@ -167,6 +166,12 @@
     node.process->signal(SIGCONT);
 }
 
+auto soak_cluster::reload(soak_node& node) -> void
+{
+    write_settings(node);
+    node.process->signal(SIGHUP);
+}
+
 auto soak_cluster::wipe(soak_node& node) -> void
 {
     std::filesystem::remove_all(node.data);
@@ -201,8 +206,7 @@
 {
     first_seed_ = first;
     for (auto& node : nodes_) {
-        write_settings(node);
-        node.process->signal(SIGHUP);
+        reload(node);
     }
 }
 
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -72,6 +72,8 @@
     auto terminate(soak_node& node) -> void;
     auto pause(soak_node& node) -> void;
     auto resume(soak_node& node) -> void;
+    /// Writes its settings again and tells it so.
+    auto reload(soak_node& node) -> void;
     /// Removes what a control member stored; it must not run.
     auto wipe(soak_node& node) -> void;
     /// Appends bytes to the last file of a control member's log, as a write
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -12,6 +12,9 @@
 
 constexpr auto heartbeat_interval = std::chrono::milliseconds(250);
 constexpr auto configuration_interval = std::chrono::milliseconds(900);
+constexpr auto hurried_interval = std::chrono::milliseconds(80);
+/// Numbers of versions for which an added database stays.
+constexpr auto versions_kept = std::uint64_t{120};
 /// Callers of control move on after this long.
 constexpr auto call_patience = milliseconds(1000);
 constexpr auto promotion_delay = std::chrono::milliseconds(150);
@@ -68,6 +71,29 @@
     http_.stop();
 }
 
+auto soak_platform::acknowledged_at(std::uint64_t version) const
+    -> std::optional<time_point>
+{
+    const auto found = acknowledged_at_.lower_bound(version);
+    return found == acknowledged_at_.end() ? std::nullopt
+                                           : std::optional(found->second);
+}
+
+auto soak_platform::added_database(std::uint64_t version) -> std::string
+{
+    return "added" + std::to_string(version);
+}
+
+auto soak_platform::is_kept(std::uint64_t version) const noexcept -> bool
+{
+    return version + versions_kept > version_;
+}
+
+auto soak_platform::hurry(duration length) -> void
+{
+    hurries_until_ = std::max(hurries_until_, steady_now() + length);
+}
+
 auto soak_platform::announce_all() -> void
 {
     for (const auto& group : groups_) {
@@ -133,7 +159,11 @@
     for (const auto& route : routes_) {
         add("r-" + route.database, route.database, route);
     }
-    add("r-extra", "extra" + std::to_string(version), routes_.front());
+    const auto oldest = version - std::min(version - 1, versions_kept - 1);
+    for (auto added = oldest; added <= version; ++added) {
+        add("r-" + added_database(added), added_database(added),
+            routes_.front());
+    }
     auto services = json_value::array();
     for (const auto& group : groups_) {
         services.emplace_back(json_value::object{
@@ -207,6 +237,7 @@
             const auto [status, reply] = co_await call("PUT", text);
             if (status == 200) {
                 acknowledged_version_ = version_;
+                acknowledged_at_.emplace(version_, steady_now());
                 break;
             }
             if (status >= 400 && status < 500) {
@@ -216,11 +247,7 @@
             co_await timer.async_wait(asio::use_awaitable);
         }
         if (version_ % 4 == 0) {
-            const auto [status, reply] =
-                co_await call("PUT", "{\"version\":1}");
-            if (status == 200) {
-                ledger_.fail("CONFIG", "an invalid one was acknowledged");
-            }
+            co_await send_invalid();
         }
         const auto expected = acknowledged_version_;
         const auto [status, reply] = co_await call("GET", {});
@@ -229,11 +256,38 @@
                         expected) {
             ledger_.fail("CONFIG", "an older one was read back: " + reply);
         }
-        timer.expires_after(configuration_interval);
+        if (steady_now() < hurries_until_) {
+            timer.expires_after(hurried_interval);
+        } else {
+            timer.expires_after(configuration_interval);
+        }
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
 
+auto soak_platform::send_invalid() -> asio::awaitable<void>
+{
+    auto text = document(version_ + 1);
+    switch (random_() % 4) {
+    case 0:
+        text = "{\"version\":1}";
+        break;
+    case 1:
+        text.resize(text.size() / 2);
+        break;
+    case 2:
+        text.replace(text.rfind("\"timeoutMs\":1000"), 16, "\"timeoutMs\":0");
+        break;
+    default:
+        text.replace(text.rfind("\"service\":\""), 11, "\"service\":\"no");
+        break;
+    }
+    const auto [status, reply] = co_await call("PUT", text);
+    if (status == 200) {
+        ledger_.fail("CONFIG", "an invalid one was acknowledged: " + text);
+    }
+}
+
 auto soak_platform::check_configuration() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(context_);
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -41,10 +41,29 @@
         return acknowledged_version_;
     }
 
+    /// Highest version that was sent.
+    [[nodiscard]] auto sent_version() const noexcept -> std::uint64_t
+    {
+        return version_;
+    }
+    /// When the version, or a higher one, was acknowledged first.
+    [[nodiscard]] auto acknowledged_at(std::uint64_t version) const
+        -> std::optional<time_point>;
+    /// The database that the version adds, if it is ever sent.
+    [[nodiscard]] static auto added_database(std::uint64_t version)
+        -> std::string;
+    /// Whether all versions since then that were sent have that database.
+    [[nodiscard]] auto is_kept(std::uint64_t version) const noexcept -> bool;
+
+    /// Sends changes one right after the other until the time is over.
+    auto hurry(duration length) -> void;
+
 private:
     auto announce_all() -> void;
     auto announce(const stand_in_group& group, stand_in_server& server) -> void;
     auto send_configurations() -> asio::awaitable<void>;
+    /// Sends a configuration that must be refused.
+    auto send_invalid() -> asio::awaitable<void>;
     /// One request to a control member, redirected at most twice.
     /// @return status and body; status 0 if there was no answer.
     auto call(std::string method, std::string body)
@@ -69,6 +88,8 @@
     std::map<std::string, std::pair<std::uint64_t, std::string>> tokens_;
     std::uint64_t version_ = 0;
     std::uint64_t acknowledged_version_ = 0;
+    std::map<std::uint64_t, time_point> acknowledged_at_;
+    time_point hurries_until_;
     bool is_stopped_ = false;
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr auto controls = std::size_t{3};
-constexpr auto proxies = std::size_t{4};
 constexpr auto servers_per_group = std::size_t{3};
 constexpr auto callers_per_route = 5;
 /// The system must serve again this long after the last fault is over, which
@@ -49,6 +47,7 @@
 soak_run::soak_run(soak_options options)
     : options_(std::move(options)),
       random_(options_.seed),
+      series_random_(options_.seed + 1),
       ledger_("seed=" + std::to_string(options_.seed))
 {
     std::filesystem::remove_all(options_.directory);
@@ -73,15 +72,21 @@
     }
     cluster_ = std::make_unique<soak_cluster>(
         context_, ledger_, options_.program, options_.directory, ports,
-        controls, proxies);
+        options_.controls, options_.proxies);
     platform_ = std::make_unique<soak_platform>(context_, ledger_, groups_,
                                                 routes(), random_());
+    prober_ = std::make_unique<soak_prober>(
+        context_, ledger_, *platform_, ports.callers(), options_.seed,
+        [this]() -> soak_node& {
+            return cluster_->nodes().at(options_.controls +
+                                        series_random_() % options_.proxies);
+        });
 }
 
 auto soak_run::run() -> std::size_t
 {
     auto control = std::vector<asio::ip::tcp::endpoint>();
-    for (auto index = std::size_t{0}; index < controls; ++index) {
+    for (auto index = std::size_t{0}; index < options_.controls; ++index) {
         control.emplace_back(asio::ip::make_address(control_address(index)),
                              cluster_->ports().control());
     }
@@ -93,6 +98,7 @@
         {asio::ip::make_address("127.0.0.1"), cluster_->ports().promotions()},
         std::move(control));
     add_callers();
+    asio::co_spawn(context_, prober_->run(is_over_), asio::detached);
     asio::co_spawn(context_, script(), [this](const std::exception_ptr& fault) {
         if (fault) {
             ledger_.fail("SOAK", "the script ended early");
@@ -163,10 +169,12 @@
 {
     co_await wait_for_service(recovery_limit, "start");
     co_await drain_one_proxy();
+    asio::co_spawn(context_, run_series(), asio::detached);
     for (const auto end = steady_now() + options_.faults; steady_now() < end;) {
         begin_fault();
         co_await wait(draw_time(200, 1500));
     }
+    are_faults_over_ = true;
     heal_all();
     ledger_.note("healed");
     co_await wait_for_service(recovery_limit, "recovery");
@@ -176,6 +184,8 @@
                  " served=" + std::to_string(counts_.served));
     co_await platform_->check_configuration();
     is_over_ = true;
+    // The prober and the callers finish what they have begun.
+    co_await wait(std::chrono::milliseconds(200));
     platform_->stop();
 }
 
@@ -212,12 +222,12 @@
 
 auto soak_run::pick_proxy() -> soak_node&
 {
-    return cluster_->nodes().at(controls + draw(proxies));
+    return cluster_->nodes().at(options_.controls + draw(options_.proxies));
 }
 
 auto soak_run::pick_control() -> soak_node&
 {
-    return cluster_->nodes().at(draw(controls));
+    return cluster_->nodes().at(draw(options_.controls));
 }
 
 auto soak_run::later(duration length, std::function<void()> then) -> void
@@ -281,7 +291,7 @@
     auto& node = pick_control();
     if (what < 12) {
         ledger_.note("fault=exchange_seeds");
-        cluster_->exchange_seeds(draw(controls));
+        cluster_->exchange_seeds(draw(options_.controls));
         return;
     }
     if (!node.process->is_running() || node.is_ending) {
@@ -301,16 +311,18 @@
     }
     cluster_->kill(node);
     const auto random = random_();
-    const auto others = std::count_if(
-        cluster_->nodes().begin(),
-        cluster_->nodes().begin() + static_cast<std::ptrdiff_t>(controls),
-        [](const auto& each) {
-            return each.process->is_running() && !each.is_ending &&
-                   !each.is_paused;
-        });
+    const auto others =
+        std::count_if(cluster_->nodes().begin(),
+                      cluster_->nodes().begin() +
+                          static_cast<std::ptrdiff_t>(options_.controls),
+                      [](const auto& each) {
+                          return each.process->is_running() &&
+                                 !each.is_ending && !each.is_paused;
+                      });
     // A second disk may be lost only once the first has been replaced.
-    const auto may_wipe = others + 1 >= static_cast<std::ptrdiff_t>(controls) &&
-                          steady_now() - last_wipe_ > catch_up_time;
+    const auto may_wipe =
+        others + 1 >= static_cast<std::ptrdiff_t>(options_.controls) &&
+        steady_now() - last_control_loss_ > catch_up_time;
     const auto is_wiped = what < 75 && may_wipe;
     const auto is_torn = !is_wiped && what < 90;
     ledger_.note("fault=kill node=" + node.name +
@@ -318,7 +330,7 @@
                   : is_torn ? " disk=torn"
                             : ""));
     if (is_wiped) {
-        last_wipe_ = steady_now();
+        last_control_loss_ = steady_now();
     }
     later(milliseconds(150), [this, &node, is_wiped, is_torn, random] {
         if (is_wiped) {
@@ -389,6 +401,52 @@
           [&relay] { relay.set(relay_fault::none, false); });
 }
 
+auto soak_run::run_series() -> asio::awaitable<void>
+{
+    while (!are_faults_over_) {
+        co_await wait(milliseconds(300 + series_random_() % 1200));
+        if (are_faults_over_) {
+            break;
+        }
+        if (series_random_() % 3 == 0) {
+            ledger_.note("series of changes");
+            platform_->hurry(milliseconds(1000 + series_random_() % 2000));
+            continue;
+        }
+        // Control members are told to end often enough without this.
+        auto& node = cluster_->nodes().at(
+            series_random_() % 5 == 0
+                ? series_random_() % options_.controls
+                : options_.controls + series_random_() % options_.proxies);
+        asio::co_spawn(context_, signal_in_series(node), asio::detached);
+    }
+}
+
+auto soak_run::signal_in_series(soak_node& node) -> asio::awaitable<void>
+{
+    ledger_.note("series of signals node=" + node.name);
+    if (node.is_control) {
+        last_control_loss_ = steady_now();
+    }
+    for (auto left = 2 + series_random_() % 4; left > 0; --left) {
+        if (are_faults_over_ || !node.process->is_running()) {
+            break;
+        }
+        const auto what = series_random_() % 8;
+        if (what < 4) {
+            cluster_->reload(node);
+        } else if (what < 6) {
+            cluster_->pause(node);
+            co_await wait(milliseconds(20 + series_random_() % 400));
+            cluster_->resume(node);
+        } else {
+            cluster_->terminate(node);
+            restart_later(node, milliseconds(200 + series_random_() % 800));
+        }
+        co_await wait(milliseconds(5 + series_random_() % 200));
+    }
+}
+
 auto soak_run::kill_many() -> void
 {
     const auto is_all = draw(2) == 0;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -3,6 +3,7 @@
 
 #include "soak_cluster.hpp"
 #include "soak_platform.hpp"
+#include "soak_prober.hpp"
 
 #include <cstdint>
 #include <filesystem>
@@ -24,6 +25,8 @@
     std::uint64_t seed = 1;
     /// Time in which faults begin.
     duration faults = std::chrono::seconds(12);
+    std::size_t controls = 3;
+    std::size_t proxies = 4;
 };
 
 /// One soak: the system as processes, callers, and a schedule of faults that
@@ -52,6 +55,10 @@
     auto harm_server(std::uint64_t draw) -> void;
     auto harm_connections(std::uint64_t draw) -> void;
     auto kill_many() -> void;
+    /// Sends series of signals to nodes, which overlap with each other and with
+    /// the other faults, and lets changes of the configuration come in series.
+    auto run_series() -> asio::awaitable<void>;
+    auto signal_in_series(soak_node& node) -> asio::awaitable<void>;
     auto restart_later(soak_node& node, duration length) -> void;
     auto later(duration length, std::function<void()> then) -> void;
     auto heal_all() -> void;
@@ -62,6 +69,8 @@
 
     soak_options options_;
     std::mt19937_64 random_;
+    /// Its own, so that series leave the other faults of a seed as they are.
+    std::mt19937_64 series_random_;
     asio::io_context context_{1};
     soak_ledger ledger_;
     service_counts counts_;
@@ -69,10 +78,13 @@
     std::vector<std::unique_ptr<fault_relay>> server_relays_;
     std::unique_ptr<soak_cluster> cluster_;
     std::unique_ptr<soak_platform> platform_;
+    std::unique_ptr<soak_prober> prober_;
     std::vector<std::unique_ptr<soak_caller>> callers_;
     std::set<std::string> cut_proxies_;
-    time_point last_wipe_;
+    /// When a disk was lost, or a series of signals to a member began.
+    time_point last_control_loss_;
     bool is_draining_only_ = false;
+    bool are_faults_over_ = false;
     bool is_over_ = false;
 };
 
