programs: SIGHUP does not end a process that is starting; soak: wait for it

Cause: until its handlers stand, SIGHUP ends a process by default. A settings change that falls into a start, as in a roll, ended it.

--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -108,6 +108,11 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
+    // Settings are read below; until changes are watched, a signal that they
+    // changed must not end the process, which is what it does by default.
+    if (std::signal(SIGHUP, SIG_IGN) == SIG_ERR) {
+        return EXIT_FAILURE;
+    }
     const auto role = std::string_view(argument_count == 2 ? arguments[1] : "");
     if (role != "proxy" && role != "control") {
         std::cerr << usage;
--- a/tests/soak/managed_process.cpp
+++ b/tests/soak/managed_process.cpp
@@ -30,9 +30,19 @@
     }
 }
 
+auto managed_process::has_spoken() const -> bool
+{
+    auto missing = std::error_code();
+    const auto size = std::filesystem::file_size(log_, missing);
+    return !missing && size > log_size_;
+}
+
 auto managed_process::start() -> void
 {
     ++starts_;
+    auto missing = std::error_code();
+    const auto size = std::filesystem::file_size(log_, missing);
+    log_size_ = missing ? 0 : size;
     auto variable = "RHUBARBRUN_NODE_FILE=" + settings_.string();
     auto program = program_.string();
     auto arguments =
--- a/tests/soak/managed_process.hpp
+++ b/tests/soak/managed_process.hpp
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <csignal>
+#include <cstdint>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -32,11 +33,16 @@
         return process_ > 0;
     }
 
+    /// Whether it has written a line since its start. Before that, the kernel
+    /// carries out the default action of a signal, whatever the program does.
+    [[nodiscard]] auto has_spoken() const -> bool;
+
     /// How often it was started.
     [[nodiscard]] auto starts() const noexcept -> unsigned { return starts_; }
 
 private:
     unsigned starts_ = 0;
+    std::uintmax_t log_size_ = 0;
     std::filesystem::path program_;
     std::string role_;
     std::filesystem::path settings_;
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -169,7 +169,9 @@
 auto soak_cluster::reload(soak_node& node) -> void
 {
     write_settings(node);
-    node.process->signal(SIGHUP);
+    if (node.process->has_spoken()) {
+        node.process->signal(SIGHUP);
+    }
 }
 
 auto soak_cluster::wipe(soak_node& node) -> void
