--- a/tests/coordination/view_freshness_test.cpp
+++ b/tests/coordination/view_freshness_test.cpp
@@ -62,6 +62,9 @@
     /// What the member sends to other members is lost.
     auto mute(std::size_t member) -> void { muted_.insert(member); }
 
+    /// The member gets heartbeats and answers to its questions, but no entries.
+    auto starve(std::size_t member) -> void { starved_.insert(member); }
+
     /// The member accepts no links and answers nothing.
     auto crash(std::size_t member) -> void
     {
@@ -273,7 +276,12 @@
     auto is_lost(const consensus_message& message) -> bool
     {
         const auto from = number(message.from.id.value());
-        return muted_.contains(from);
+        const auto has_entries =
+            std::holds_alternative<append_request>(message.body) ||
+            std::holds_alternative<snapshot_chunk>(message.body);
+        return muted_.contains(from) ||
+               (has_entries &&
+                starved_.contains(number(message.to.id.value())));
     }
 
     /// Lets the leader add a change, and records what is acknowledged.
@@ -329,6 +337,7 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::size_t> parts_ = std::vector<std::size_t>(5, 0);
     std::set<std::size_t> muted_;
+    std::set<std::size_t> starved_;
     std::array<state_freshness, 5> freshness_;
     std::array<std::uint64_t, 5> pushed_{};
     std::map<std::uint64_t, time_point> acknowledged_at_;
@@ -374,6 +383,20 @@
     }
 }
 
+// A member may be told how much is committed before it has that much.
+TEST_CASE("view freshness: a member that lacks entries holds no proxy back")
+{
+    for (auto starved = std::size_t{0}; starved < regions.size(); ++starved) {
+        auto group = followed_group(starved + 1);
+        group.run(std::chrono::seconds(4));
+        group.forget_lag();
+        group.starve(starved);
+        group.run(std::chrono::seconds(14));
+        CAPTURE(starved);
+        CHECK(group.longest_lag() < effect_limit);
+    }
+}
+
 // A proxy whose members ended lost time with those that do not answer.
 TEST_CASE("view freshness: each proxy takes each change in time while any two "
           "members are down")
