--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -178,7 +178,11 @@
     {
         if (choice_.followed() != logged_) {
             logged_ = choice_.followed();
-            log_event("control_followed").field("member", logged_);
+            const auto view_age = age(steady_now());
+            log_event("control_followed")
+                .field("member", logged_)
+                .field("view_age_ms",
+                       view_age ? to_milliseconds(*view_age) : -1);
         }
     }
 
--- /dev/null
+++ b/tests/platform/proxy_adapter_test.cpp
@@ -0,0 +1,160 @@
+#include "control_adapter.hpp"
+#include "proxy_adapter.hpp"
+
+#include <rhubarbrun/transport/http_client.hpp>
+#include <rhubarbrun/transport/worker_pool.hpp>
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rhubarbrun_tests {
+
+using namespace rhubarbrun;
+using namespace rhubarbrun::platform;
+
+namespace {
+
+const auto configuration_text = std::string(
+    R"({"version":7,"routes":[{"name":"r1","host":"db1","pathPrefix":"/",)"
+    R"("type":"primary","timeoutMs":1000,"service":"g1"}],)"
+    R"("services":[{"name":"g1","maxConns":86,"syncReplicas":0}]})");
+
+/// One control member and one proxy, on loopback and on one thread.
+class small_deployment
+{
+public:
+    small_deployment()
+        : ports_(free_ports()),
+          directory_(std::filesystem::temp_directory_path() /
+                     ("rhubarbrun_proxy_" + std::to_string(ports_.at(0)))),
+          control_(std::make_unique<control_adapter>(
+              context_, settings("127.0.0.1"), seeds,
+              [](const std::string& reason) { FAIL(reason); })),
+          proxy_(context_, settings("127.0.0.2"), seeds)
+    {
+        control_->start();
+        proxy_.start();
+    }
+    small_deployment(const small_deployment&) = delete;
+    auto operator=(const small_deployment&) -> small_deployment& = delete;
+    ~small_deployment()
+    {
+        control_.reset();
+        std::filesystem::remove_all(directory_);
+    }
+
+    /// Sends the configuration until it is acknowledged.
+    auto configure() -> bool
+    {
+        // Answers may come after this has returned.
+        const auto is_acknowledged = std::make_shared<bool>(false);
+        for (auto attempt = 0; attempt < 100 && !*is_acknowledged; ++attempt) {
+            auto request = http_request{};
+            request.method = "PUT";
+            request.path = "/api/config";
+            request.body = configuration_text;
+            http_send(context_,
+                      {asio::ip::make_address("127.0.0.1"), ports_.at(1)},
+                      std::move(request),
+                      [is_acknowledged](const http_result& result) {
+                          *is_acknowledged =
+                              result.response && result.response->status == 200;
+                      });
+            context_.run_for(std::chrono::milliseconds(300));
+        }
+        return *is_acknowledged;
+    }
+
+    auto stop_control() -> void { control_->stop(); }
+    auto run(duration length) -> void { context_.run_for(length); }
+
+    /// The answer to a session that starts; empty if none comes within 5 s.
+    auto start_session(const std::string& database) -> std::string
+    {
+        auto socket = asio::ip::tcp::socket(context_);
+        const auto start = "STARTUP " + database + " caller\r\n";
+        auto answer = std::string();
+        auto is_answered = false;
+        socket.async_connect(
+            {asio::ip::make_address("127.0.0.2"), ports_.at(2)},
+            [&](error_code error) {
+                REQUIRE(!error);
+                asio::write(socket, asio::buffer(start));
+                asio::async_read_until(
+                    socket, asio::dynamic_buffer(answer), "\r\n",
+                    [&](error_code, std::size_t) { is_answered = true; });
+            });
+        const auto end = steady_now() + std::chrono::seconds(5);
+        while (!is_answered && steady_now() < end) {
+            context_.run_for(std::chrono::milliseconds(10));
+        }
+        REQUIRE(is_answered);
+        return answer;
+    }
+
+private:
+    static auto seeds() -> std::vector<std::string> { return {"127.0.0.1"}; }
+
+    static auto free_ports() -> std::vector<std::uint16_t>
+    {
+        auto context = asio::io_context();
+        auto taken = std::vector<asio::ip::tcp::acceptor>();
+        auto ports = std::vector<std::uint16_t>();
+        for (auto count = 0; count < 4; ++count) {
+            taken.emplace_back(context,
+                               asio::ip::tcp::endpoint(
+                                   asio::ip::make_address("127.0.0.1"), 0));
+            ports.push_back(taken.back().local_endpoint().port());
+        }
+        return ports;
+    }
+
+    auto settings(const std::string& address) const -> node_settings
+    {
+        const auto at = [&](std::size_t index) {
+            return address + ':' + std::to_string(ports_.at(index));
+        };
+        auto result = node_settings{};
+        result.name = address;
+        result.address = address;
+        result.zone = zone_id("north-a");
+        result.region = "north";
+        result.peer_port = ports_.at(0);
+        result.control_listen = at(1);
+        result.callers_listen = at(2);
+        result.health_listen = at(3);
+        result.seeds = seeds();
+        result.is_first_start = true;
+        result.data_directory = directory_ / address;
+        return result;
+    }
+
+    asio::io_context context_{1};
+    std::vector<std::uint16_t> ports_;
+    std::filesystem::path directory_;
+    std::unique_ptr<control_adapter> control_;
+    proxy_adapter proxy_;
+};
+
+} // namespace
+
+// A proxy that had had no news for seconds denied databases for certain.
+TEST_CASE("proxy adapter: without news it serves what it knows and denies "
+          "nothing")
+{
+    auto deployment = small_deployment();
+    REQUIRE(deployment.configure());
+    CHECK(deployment.start_session("db1").starts_with("READY"));
+    CHECK(deployment.start_session("none").starts_with("ERROR NODATABASE"));
+    deployment.stop_control();
+    deployment.run(std::chrono::milliseconds(2500));
+    CHECK(deployment.start_session("db1").starts_with("READY"));
+    CHECK(deployment.start_session("none").starts_with("ERROR RETRY"));
+}
+
+} // namespace rhubarbrun_tests
