coordination: index the server directory by group, address and revision

Cause: the server of a group that claims to be primary was searched among all servers, for every group every 50 ms, so that a control member's work grew with groups times servers. Change: lookups by group, by address and of what changed since a revision use indexes; the supervisor asks for the servers of its group.

--- a/include/rhubarbrun/coordination/server_directory.hpp
+++ b/include/rhubarbrun/coordination/server_directory.hpp
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace rhubarbrun::inline v1 {
@@ -59,7 +61,12 @@
     [[nodiscard]] auto claimed_primary(const group_id& group) const noexcept
         -> const entry*;
 
-    /// Records in which routing changed after `revision`.
+    /// Servers of a group, in the order of their ids.
+    [[nodiscard]] auto servers_of(const group_id& group) const
+        -> std::vector<const entry*>;
+
+    /// Records in which routing changed after `revision`, in the order of the
+    /// changes.
     [[nodiscard]] auto changed_since(std::uint64_t revision) const
         -> std::vector<server_record>;
 
@@ -71,8 +78,14 @@
 private:
     auto end_others_at_address(time_point now, const server_record& record)
         -> void;
+    /// Counts a change of the entry, whose index must be up to date.
+    auto mark_changed(entry& known) -> void;
 
     std::map<target_id, entry> entries_;
+    // Indexes, so that a lookup does not cost more with more servers.
+    std::map<group_id, std::set<target_id>> by_group_;
+    std::map<std::string, std::set<target_id>> by_address_;
+    std::map<std::uint64_t, target_id> by_revision_;
     std::uint64_t revision_ = 0;
 };
 
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -191,11 +191,10 @@
     group.asked.clear();
     group.statuses.clear();
     auto asked = std::vector<server_record>();
-    for (const auto& [name, known] : directory.entries()) {
-        if (known.record.group == id &&
-            known.record.state != server_availability::gone) {
-            group.asked.insert(name);
-            asked.push_back(known.record);
+    for (const auto* const known : directory.servers_of(id)) {
+        if (known->record.state != server_availability::gone) {
+            group.asked.insert(known->record.id);
+            asked.push_back(known->record);
         }
     }
     hooks_.log("primary_surveyed", id, group.primary, group.reason);
@@ -320,12 +319,12 @@
     if (!has_stepped_down) {
         return;
     }
-    for (const auto& [name, known] : directory.entries()) {
-        if (known.record.group == id &&
-            known.record.state == server_availability::ready &&
-            name != group.primary && group.asked.insert(name).second)
+    for (const auto* const known : directory.servers_of(id)) {
+        const auto& record = known->record;
+        if (record.state == server_availability::ready &&
+            record.id != group.primary && group.asked.insert(record.id).second)
         {
-            hooks_.ask_status(known.record);
+            hooks_.ask_status(record);
         }
     }
 }
--- a/src/coordination/server_directory.cpp
+++ b/src/coordination/server_directory.cpp
@@ -21,25 +21,40 @@
     }
     known.heard_at = now;
     const auto is_changed = is_first || !record.is_equivalent(known.record);
+    if (!is_first && known.record.group != record.group) {
+        by_group_[known.record.group].erase(record.id);
+    }
+    if (!is_first && known.record.address != record.address) {
+        by_address_[known.record.address].erase(record.id);
+    }
     known.record = record;
     if (!is_changed) {
         return merge_result::renewed;
     }
-    known.revision = ++revision_;
+    by_group_[record.group].insert(record.id);
+    by_address_[record.address].insert(record.id);
+    mark_changed(known);
     if (record.state != server_availability::gone) {
         end_others_at_address(now, record);
     }
     return merge_result::changed;
 }
 
+auto server_directory::mark_changed(entry& known) -> void
+{
+    by_revision_.erase(known.revision);
+    known.revision = ++revision_;
+    by_revision_[known.revision] = known.record.id;
+}
+
 auto server_directory::end_others_at_address(time_point now,
                                              const server_record& record)
     -> void
 {
-    for (auto& [id, other] : entries_) {
-        if (id != record.id && other.record.address == record.address &&
-            other.record.started_at < record.started_at &&
-            other.record.state != server_availability::gone)
+    for (const auto& id : by_address_[record.address]) {
+        const auto& other = entries_.at(id).record;
+        if (id != record.id && other.started_at < record.started_at &&
+            other.state != server_availability::gone)
         {
             remove(now, id);
         }
@@ -58,7 +73,7 @@
         known.record.state = server_availability::gone;
         known.record.sequence = final_sequence;
         known.heard_at = now;
-        known.revision = ++revision_;
+        mark_changed(known);
     }
     return &known.record;
 }
@@ -69,13 +84,30 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+auto server_directory::servers_of(const group_id& group) const
+    -> std::vector<const entry*>
+{
+    auto result = std::vector<const entry*>();
+    if (const auto found = by_group_.find(group); found != by_group_.end()) {
+        for (const auto& id : found->second) {
+            result.push_back(&entries_.at(id));
+        }
+    }
+    return result;
+}
+
 auto server_directory::claimed_primary(const group_id& group) const noexcept
     -> const entry*
 {
     const entry* latest = nullptr;
-    for (const auto& [id, known] : entries_) {
+    const auto found = by_group_.find(group);
+    if (found == by_group_.end()) {
+        return nullptr;
+    }
+    for (const auto& id : found->second) {
+        const auto& known = entries_.find(id)->second;
         const auto& record = known.record;
-        if (record.group == group && record.role == server_role::primary &&
+        if (record.role == server_role::primary &&
             record.state != server_availability::gone &&
             (latest == nullptr || known.revision > latest->revision))
         {
@@ -89,10 +121,10 @@
     -> std::vector<server_record>
 {
     auto changed = std::vector<server_record>();
-    for (const auto& [id, known] : entries_) {
-        if (known.revision > revision) {
-            changed.push_back(known.record);
-        }
+    for (auto each = by_revision_.upper_bound(revision);
+         each != by_revision_.end(); ++each)
+    {
+        changed.push_back(entries_.at(each->second).record);
     }
     return changed;
 }
