transport, coordination: a control member outlives a full disk

Ruled out: damage. What was written before a refused write is whole. Change: log_store tells a write that was refused for lack of room (ENOSPC, EDQUOT, EFBIG) from every other failure, cuts the torn tail back before the next append and before a new segment, and can be given the batch again. storage_gate keeps the batch and tries it again; meanwhile the member of the group is left alone, like a process that is suspended. A start needs no room for a whole log. The file of known servers is saved again after a failure, so that old hints do not stay.

--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -5,9 +5,11 @@
 #include <rhubarbrun/coordination/position_watch.hpp>
 #include <rhubarbrun/coordination/primary_supervisor.hpp>
 #include <rhubarbrun/coordination/server_directory.hpp>
+#include <rhubarbrun/coordination/storage_gate.hpp>
 #include <rhubarbrun/protocol/secret_key.hpp>
 #include <rhubarbrun/state/configuration_history.hpp>
 #include <rhubarbrun/transport/asio.hpp>
+#include <rhubarbrun/transport/file_hooks.hpp>
 #include <rhubarbrun/transport/peer_links.hpp>
 
 #include <cstdint>
@@ -39,6 +41,7 @@
     secret_key link_key;
     peer_link_limits links;
     consensus_options consensus;
+    file_hooks files = system_file_hooks();
 };
 
 /// What a `configuration_node` needs from its surroundings. Every hook is
@@ -116,6 +119,8 @@
     [[nodiscard]] auto is_leader() const -> bool;
     /// Version of the configuration in force here; 0 if there is none.
     [[nodiscard]] auto configuration_version() const -> std::uint64_t;
+    /// Whether and since when the disk has had no room for the log.
+    [[nodiscard]] auto storage() const -> const storage_gate&;
     /// State on one line of JSON.
     [[nodiscard]] auto dump() const -> std::string;
 
--- a/include/rhubarbrun/transport/log_files.hpp
+++ b/include/rhubarbrun/transport/log_files.hpp
@@ -50,14 +50,22 @@
     using std::runtime_error::runtime_error;
 };
 
-/// The log cannot be made durable, because the disk is full or a write or a
-/// sync failed. The member must stop; the object refuses all further work.
+/// The log cannot be made durable, because a write or a sync failed. The member
+/// must stop; the object refuses all further work.
 class log_storage_error : public std::runtime_error
 {
 public:
     using std::runtime_error::runtime_error;
 };
 
+/// The disk has no room for a batch. Nothing of the batch counts as durable; it
+/// may be saved again, and no other batch may be saved before it.
+class log_full_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
 /// Settings of `log_files`.
 struct log_files_options
 {
@@ -80,7 +88,9 @@
     /// Locks the data directory, creates it if it does not exist, and reads
     /// what it holds. A new directory gets a new incarnation from `random`.
     ///
-    /// Throws `log_locked_error`, `log_corrupt_error` or `log_storage_error`.
+    /// Throws `log_locked_error`, `log_corrupt_error`, `log_storage_error`, or
+    /// `log_full_error` if the disk has no room for what has to be written at a
+    /// start; a later attempt may succeed.
     log_files(log_files_options options, const random_function& random,
               file_hooks hooks = system_file_hooks());
     log_files(const log_files&) = delete;
@@ -101,7 +111,8 @@
 
     /// Makes snapshot, state and entries of a batch durable.
     ///
-    /// Throws `log_storage_error`, also on every call after the first failure.
+    /// Throws `log_full_error` if the disk has no room, and `log_storage_error`
+    /// on any other failure and on every call after that.
     auto save(const consensus_ready& ready) -> void;
 
 private:
--- a/include/rhubarbrun/transport/server_cache.hpp
+++ b/include/rhubarbrun/transport/server_cache.hpp
@@ -22,12 +22,14 @@
     /// logged.
     [[nodiscard]] auto load() const -> std::vector<server_record>;
 
-    /// Replaces the file. A failure is logged and does no further harm.
-    auto save(const std::vector<server_record>& records) -> void;
+    /// Replaces the file. Returns false on a failure, which is logged when the
+    /// first one follows a success.
+    [[nodiscard]] auto save(const std::vector<server_record>& records) -> bool;
 
 private:
     std::filesystem::path file_;
     file_hooks hooks_;
+    bool is_failing_ = false;
 };
 
 } // namespace rhubarbrun::inline v1
--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -2,13 +2,17 @@
 #include "proxy_adapter.hpp"
 
 #include <rhubarbrun/transport/event_log.hpp>
+#include <rhubarbrun/transport/log_files.hpp>
 
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <iostream>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace {
 
@@ -18,6 +22,9 @@
 constexpr auto exit_usage = 2;
 /// Time for a control member to answer the calls that it took before SIGTERM.
 constexpr auto control_stop_delay = std::chrono::milliseconds(600);
+/// Pause before a member that found no room on its disk at its start tries
+/// again.
+constexpr auto disk_retry_interval = std::chrono::milliseconds(500);
 /// Variable with the path of the platform's settings file.
 constexpr auto settings_variable = "RHUBARBRUN_NODE_FILE";
 
@@ -54,18 +61,53 @@
     return EXIT_SUCCESS;
 }
 
+/// Waits until the disk has room for what a start has to write, which is little
+/// and rarely anything. Returns null if the process is to end before.
+auto open_control(asio::io_context& context, asio::signal_set& signals,
+                  const node_settings& settings, const seed_reader& seeds,
+                  const std::function<void()>& on_failure)
+    -> std::unique_ptr<control_adapter>
+{
+    auto is_ending = false;
+    auto is_logged = false;
+    signals.async_wait(
+        [&](error_code error, int) { is_ending = is_ending || !error; });
+    auto opened = std::unique_ptr<control_adapter>();
+    while (!opened && !is_ending) {
+        try {
+            opened = std::make_unique<control_adapter>(
+                context, settings, seeds,
+                [on_failure](const std::string&) { on_failure(); });
+        } catch (const log_full_error& fault) {
+            if (!std::exchange(is_logged, true)) {
+                log_event("disk_full", event_severity::error)
+                    .field("reason", fault.what());
+            }
+            context.run_for(disk_retry_interval);
+        }
+    }
+    signals.cancel();
+    context.restart();
+    context.poll();
+    context.restart();
+    return is_ending ? nullptr : std::move(opened);
+}
+
 auto run_control(node_settings settings, seed_reader seeds) -> int
 {
     auto context = asio::io_context(1);
     auto code = EXIT_SUCCESS;
     auto reload = asio::signal_set(context, SIGHUP);
     watch_reload(reload);
-    auto node = control_adapter(context, std::move(settings), std::move(seeds),
-                                [&](const std::string&) {
-                                    code = EXIT_FAILURE;
-                                    context.stop();
-                                });
     auto signals = asio::signal_set(context, SIGTERM, SIGINT);
+    const auto opened = open_control(context, signals, settings, seeds, [&] {
+        code = EXIT_FAILURE;
+        context.stop();
+    });
+    if (!opened) {
+        return EXIT_SUCCESS;
+    }
+    auto& node = *opened;
     auto last_answers = asio::steady_timer(context);
     signals.async_wait([&](error_code error, int number) {
         if (error) {
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -18,6 +18,9 @@
 constexpr auto submit_patience = milliseconds(900);
 /// Applied entries after which the log is compacted.
 constexpr auto entries_per_snapshot = std::uint64_t{64};
+/// The same in bytes. It bounds the room that the log takes, together with one
+/// segment and one command beyond it.
+constexpr auto bytes_per_snapshot = std::size_t{8} * 1024 * 1024;
 
 auto to_peer(const member_id& id) -> peer_name
 {
@@ -33,8 +36,16 @@
       hooks_(std::move(hooks)),
       timer_(context),
       files_({options_.data_directory, member_id(options_.address)},
-             random_number),
-      cache_(options_.data_directory / "view" / "servers"),
+             random_number, options_.files),
+      gate_([this](const consensus_ready& ready) {
+          try {
+              files_.save(ready);
+          } catch (const log_full_error&) {
+              return false;
+          }
+          return true;
+      }),
+      cache_(options_.data_directory / "view" / "servers", options_.files),
       links_(
           context, options_.link_key,
           {{peer_role::control, options_.address}, files_.identity().instance},
@@ -139,7 +150,7 @@
 {
     run([&] {
         const auto now = steady_now();
-        if (!member_->is_leader()) {
+        if (!is_leader()) {
             done(submit_outcome::not_leader);
             return;
         }
@@ -165,6 +176,10 @@
 {
     run([&] {
         const auto now = steady_now();
+        if (gate_.is_blocked()) {
+            done(std::nullopt);
+            return;
+        }
         const auto result = member_->read_index(now);
         if (const auto* const ticket = std::get_if<read_ticket>(&result)) {
             reads_.emplace(*ticket,
@@ -180,27 +195,63 @@
     if (std::exchange(is_pumping_, true)) {
         return;
     }
-    while (member_->has_ready()) {
+    auto may_go_on = resume_storage();
+    while (may_go_on && member_->has_ready()) {
         auto ready = member_->take_ready();
-        carry_out(ready);
+        may_go_on = carry_out(ready);
     }
     is_pumping_ = false;
     freshness_.on_applied(applied_);
     follow_leadership();
     finish_reads(steady_now());
-    if (applied_.value() - snapshot_index_.value() >= entries_per_snapshot) {
+    const auto is_snapshot_due =
+        applied_.value() - snapshot_index_.value() >= entries_per_snapshot ||
+        bytes_since_snapshot_ >= bytes_per_snapshot;
+    if (may_go_on && is_snapshot_due) {
         snapshot_index_ = applied_;
+        bytes_since_snapshot_ = 0;
         member_->compact(applied_, history_.save());
         pump();
     }
 }
 
 auto configuration_node::implementation::carry_out(consensus_ready& ready)
-    -> void
+    -> bool
+{
+    const auto now = steady_now();
+    if (!gate_.save(now, ready)) {
+        log_event("disk_full", event_severity::error)
+            .field("member", files_.identity())
+            .field("directory", options_.data_directory.string())
+            .field("remedy", "free room; the member goes on by itself");
+        return false;
+    }
+    complete(ready);
+    return true;
+}
+
+auto configuration_node::implementation::resume_storage() -> bool
 {
-    if (!ready.needs_no_storage()) {
-        files_.save(ready);
+    if (!gate_.is_blocked()) {
+        return true;
+    }
+    const auto now = steady_now();
+    const auto ready = gate_.retry(now);
+    if (!ready) {
+        return false;
     }
+    log_event("disk_writable")
+        .field("member", files_.identity())
+        .field("blocked_ms", to_milliseconds(now - gate_.blocked_since()));
+    complete(*ready);
+    // A leader that heard nothing meanwhile is none any more.
+    member_->tick(now);
+    return true;
+}
+
+auto configuration_node::implementation::complete(const consensus_ready& ready)
+    -> void
+{
     member_->on_persisted(ready.number);
     for (const auto& message : ready.messages) {
         links_.send(to_peer(message.to.id), message_type::consensus,
@@ -279,6 +330,7 @@
 auto configuration_node::implementation::apply(const log_entry& entry) -> void
 {
     applied_ = entry.index;
+    bytes_since_snapshot_ += entry.command.size();
     if (entry.kind == entry_kind::command && history_.apply(entry.command)) {
         log_in_force("log");
         tell_configuration();
@@ -306,7 +358,7 @@
 
 auto configuration_node::implementation::follow_leadership() -> void
 {
-    const auto is_leading = member_->is_leader();
+    const auto is_leading = is_leader();
     if (is_leading == was_leading_) {
         return;
     }
@@ -370,7 +422,9 @@
 auto configuration_node::implementation::arm_timer() -> void
 {
     const auto now = steady_now();
-    const auto due = std::min(member_->next_tick(), next_supervision_);
+    const auto due =
+        std::min(gate_.is_blocked() ? gate_.next_retry() : member_->next_tick(),
+                 next_supervision_);
     timer_.expires_after(std::max(due - now, duration(1000)));
     timer_.async_wait([weak = weak_from_this()](error_code error) {
         const auto self = weak.lock();
@@ -379,7 +433,9 @@
         }
         self->run([&] {
             const auto at = steady_now();
-            self->member_->tick(at);
+            if (!self->gate_.is_blocked()) {
+                self->member_->tick(at);
+            }
             if (at >= self->next_look_) {
                 self->next_look_ = at + census_interval;
                 self->look_for_members();
@@ -430,6 +486,7 @@
                    {"age_ms",
                     to_milliseconds(state_age(now).value_or(milliseconds(-1)))},
                    {"configuration", history_.newest().version},
+                   {"disk_full", gate_.is_blocked()},
                    {"members", std::move(members)},
                    {"proxies", static_cast<std::int64_t>(proxies_.size())},
                    {"servers", std::move(servers)}})
@@ -522,6 +579,11 @@
     return implementation_->is_leader();
 }
 
+auto configuration_node::storage() const -> const storage_gate&
+{
+    return implementation_->storage();
+}
+
 auto configuration_node::configuration_version() const -> std::uint64_t
 {
     return implementation_->configuration_version();
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -5,6 +5,7 @@
 #include <rhubarbrun/coordination/member_choice.hpp>
 #include <rhubarbrun/coordination/sighting_digest.hpp>
 #include <rhubarbrun/coordination/state_freshness.hpp>
+#include <rhubarbrun/coordination/storage_gate.hpp>
 #include <rhubarbrun/protocol/view_messages.hpp>
 #include <rhubarbrun/transport/configuration_node.hpp>
 #include <rhubarbrun/transport/log_files.hpp>
@@ -46,7 +47,7 @@
     [[nodiscard]] auto fencing_token() const -> std::optional<std::uint64_t>
     {
         const auto now = steady_now();
-        if (!member_->is_leader() || !member_->has_leader_lease(now)) {
+        if (!is_leader() || !member_->has_leader_lease(now)) {
             return std::nullopt;
         }
         return member_->status(now).current.value();
@@ -54,15 +55,19 @@
 
     [[nodiscard]] auto leader() const -> std::optional<std::string>
     {
-        const auto known = member_->leader();
+        // A member that waits for room on its disk hears nothing of leaders.
+        const auto known =
+            gate_.is_blocked() ? std::nullopt : member_->leader();
         return known ? std::optional(known->id.value()) : std::nullopt;
     }
 
     [[nodiscard]] auto is_leader() const -> bool
     {
-        return member_->is_leader();
+        return member_->is_leader() && !gate_.is_blocked();
     }
 
+    [[nodiscard]] auto storage() const -> const storage_gate& { return gate_; }
+
     [[nodiscard]] auto configuration_version() const -> std::uint64_t
     {
         return history_.newest().version;
@@ -143,7 +148,14 @@
 
     auto run(const std::function<void()>& work) -> void;
     auto pump() -> void;
-    auto carry_out(consensus_ready& ready) -> void;
+    /// Saves a batch and carries it out; returns false if it cannot be saved
+    /// yet.
+    auto carry_out(consensus_ready& ready) -> bool;
+    /// Carries out a batch that is durable.
+    auto complete(const consensus_ready& ready) -> void;
+    /// Tries again to save a batch for which there was no room; returns whether
+    /// the member may go on.
+    auto resume_storage() -> bool;
     auto apply(const log_entry& entry) -> void;
     auto follow_leadership() -> void;
     auto finish_reads(time_point now) -> void;
@@ -155,6 +167,7 @@
     configuration_node_hooks hooks_;
     asio::steady_timer timer_;
     log_files files_;
+    storage_gate gate_;
     server_cache cache_;
     peer_links links_;
     std::unique_ptr<consensus_member> member_;
@@ -175,6 +188,9 @@
     std::map<read_ticket, pending_read> reads_;
     log_index applied_;
     log_index snapshot_index_;
+    /// Size of the commands that were applied since the last snapshot, in
+    /// bytes.
+    std::size_t bytes_since_snapshot_ = 0;
     time_point next_look_;
     time_point next_supervision_;
     bool was_leading_ = false;
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -13,6 +13,8 @@
 
 /// The file of known servers is written at most this often.
 constexpr auto cache_interval = milliseconds(250);
+/// After a failure, so that old hints do not stay on a disk that was full.
+constexpr auto cache_retry_interval = std::chrono::seconds(1);
 /// Proxies that a member names as a way to one server.
 constexpr auto detours_told = std::size_t{2};
 
@@ -133,7 +135,9 @@
     run([&] {
         switch (type) {
         case message_type::consensus:
-            if (auto message = decode<consensus_message>(payload)) {
+            if (auto message = decode<consensus_message>(payload);
+                message && !gate_.is_blocked())
+            {
                 member_->step(steady_now(), std::move(*message));
             }
             break;
@@ -188,7 +192,7 @@
     digest_.add(now, request.report.observer,
                 to_sightings(request.report.sightings));
     send_update(link.id, to, &request);
-    if (member_->is_leader()) {
+    if (is_leader()) {
         on_report(request.report);
     } else {
         tell_leader(now);
@@ -247,7 +251,7 @@
 auto configuration_node::implementation::tell_leader(time_point now) -> void
 {
     const auto known = leader();
-    if (member_->is_leader() || !known || !digest_.is_due(now)) {
+    if (is_leader() || !known || !digest_.is_due(now)) {
         return;
     }
     const auto report =
@@ -258,7 +262,7 @@
 
 auto configuration_node::implementation::refresh_state(time_point now) -> void
 {
-    if (member_->is_leader()) {
+    if (is_leader()) {
         if (member_->has_leader_lease(now)) {
             freshness_.on_leading(now);
         }
@@ -279,7 +283,7 @@
     const link_info& link, const freshness_question& question) -> void
 {
     // What is applied here includes everything that was acknowledged.
-    if (member_->is_leader() && member_->has_leader_lease(steady_now())) {
+    if (is_leader() && member_->has_leader_lease(steady_now())) {
         links_.send(link.id, message_type::freshness_answer,
                     encode(freshness_answer{question.number, applied_}));
     }
@@ -418,9 +422,11 @@
     if (directory_.revision() == cached_revision_ || now < next_cache_save_) {
         return;
     }
-    cached_revision_ = directory_.revision();
-    next_cache_save_ = now + cache_interval;
-    cache_.save(directory_.changed_since(0));
+    const auto is_saved = cache_.save(directory_.changed_since(0));
+    next_cache_save_ = now + (is_saved ? cache_interval : cache_retry_interval);
+    if (is_saved) {
+        cached_revision_ = directory_.revision();
+    }
 }
 
 } // namespace rhubarbrun::inline v1
--- a/src/transport/control_node.cpp
+++ b/src/transport/control_node.cpp
@@ -27,6 +27,14 @@
       timer_(strand_),
       files_({options_.data_directory, options_.name}, random_number,
              options_.files),
+      gate_([this](const consensus_ready& ready) {
+          try {
+              files_.save(ready);
+          } catch (const log_full_error&) {
+              return false;
+          }
+          return true;
+      }),
       member_(files_.identity(), options_.consensus, random_number,
               files_.take_stored(), steady_now()),
       links_(context, options_.deployment_key,
@@ -155,11 +163,10 @@
 {
     const auto now = steady_now();
     const auto before = state_.applied();
-    auto is_idle = false;
+    auto is_idle = !resume_storage(now);
     while (!is_idle) {
-        while (member_.has_ready()) {
-            auto ready = member_.take_ready();
-            carry_out(ready);
+        if (!carry_out_all()) {
+            break;
         }
         if (is_leading() && !member_.is_leader()) {
             log_event("leadership_lost").field("member", files_.identity());
@@ -188,13 +195,48 @@
     }
 }
 
-auto control_node::implementation::carry_out(consensus_ready& ready) -> void
+auto control_node::implementation::carry_out_all() -> bool
 {
-    if (!ready.needs_no_storage()) {
+    while (member_.has_ready()) {
+        auto ready = member_.take_ready();
         const auto start = steady_now();
-        files_.save(ready);
-        save_times_(static_cast<double>((steady_now() - start).count()));
+        const auto is_saved = !ready.needs_no_storage();
+        if (!gate_.save(start, ready)) {
+            log_event("disk_full", event_severity::error)
+                .field("member", files_.identity())
+                .field("directory", options_.data_directory.string())
+                .field("remedy", "free room; the member goes on by itself");
+            return false;
+        }
+        if (is_saved) {
+            save_times_(static_cast<double>((steady_now() - start).count()));
+        }
+        complete(ready);
+    }
+    return true;
+}
+
+auto control_node::implementation::resume_storage(time_point now) -> bool
+{
+    if (!gate_.is_blocked()) {
+        return true;
+    }
+    const auto ready = gate_.retry(now);
+    if (!ready) {
+        return false;
     }
+    log_event("disk_writable")
+        .field("member", files_.identity())
+        .field("blocked_ms", to_milliseconds(now - gate_.blocked_since()));
+    complete(*ready);
+    // A leader that heard nothing meanwhile is none any more.
+    member_.tick(now);
+    return true;
+}
+
+auto control_node::implementation::complete(const consensus_ready& ready)
+    -> void
+{
     member_.on_persisted(ready.number);
     for (const auto& message : ready.messages) {
         links_.send({peer_role::control, message.to.id.value()},
@@ -266,6 +308,12 @@
                                            command_callback done) -> void
 {
     const auto now = steady_now();
+    if (gate_.is_blocked()) {
+        if (done) {
+            done(command_outcome::not_accepted, {});
+        }
+        return;
+    }
     const auto result = member_.propose(now, encode_command(command));
     if (const auto* const added = std::get_if<proposal>(&result)) {
         if (done) {
@@ -316,21 +364,22 @@
 auto control_node::implementation::save_snapshot() -> void
 {
     const auto applied = state_.applied();
-    if (applied.value() - snapshot_index_.value() < options_.snapshot_entries) {
+    if (gate_.is_blocked() ||
+        applied.value() - snapshot_index_.value() < options_.snapshot_entries)
+    {
         return;
     }
     snapshot_index_ = applied;
     member_.compact(applied, state_.save());
-    while (member_.has_ready()) {
-        auto ready = member_.take_ready();
-        carry_out(ready);
-    }
+    static_cast<void>(carry_out_all());
 }
 
 auto control_node::implementation::arm_timer() -> void
 {
     const auto now = steady_now();
-    auto due = std::min(member_.next_tick(), now + longest_wait);
+    auto due =
+        std::min(gate_.is_blocked() ? gate_.next_retry() : member_.next_tick(),
+                 now + longest_wait);
     if (const auto next = coordinator_->next_due(); next && is_leading()) {
         due = std::min(due, *next);
     }
@@ -342,7 +391,9 @@
         }
         try {
             const auto at = steady_now();
-            self->member_.tick(at);
+            if (!self->gate_.is_blocked()) {
+                self->member_.tick(at);
+            }
             self->give_up_pending(at);
             self->pump();
             self->arm_timer();
--- a/src/transport/control_node_http.cpp
+++ b/src/transport/control_node_http.cpp
@@ -465,7 +465,8 @@
 {
     const auto has_leader = member_.leader().has_value();
     const auto is_able =
-        is_leading() ? member_.has_leader_lease(now) : has_leader;
+        !gate_.is_blocked() &&
+        (is_leading() ? member_.has_leader_lease(now) : has_leader);
     return json_response(
         json_object{{"is_healthy", is_able}, {"is_leading", is_leading()}},
         is_able ? 200 : 503);
@@ -485,6 +486,8 @@
         << "control_links " << links_.links().size() << '\n'
         << "control_coordinator_evaluations " << coordinator_->evaluations()
         << '\n'
+        << "control_disk_full " << (gate_.is_blocked() ? 1 : 0) << '\n'
+        << "control_disk_full_total " << gate_.refusals() << '\n'
         << "control_saves " << saves << '\n'
         << "control_save_mean_us " << (saves > 0 ? acc::mean(save_times_) : 0.0)
         << '\n'
--- a/src/transport/control_node_implementation.hpp
+++ b/src/transport/control_node_implementation.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_SRC_TRANSPORT_CONTROL_NODE_IMPLEMENTATION_HPP
 
 #include <rhubarbrun/coordination/consensus.hpp>
+#include <rhubarbrun/coordination/storage_gate.hpp>
 #include <rhubarbrun/protocol/internal_messages.hpp>
 #include <rhubarbrun/state/control_state.hpp>
 #include <rhubarbrun/transport/control_node.hpp>
@@ -76,7 +77,14 @@
     auto run(const std::function<void()>& work) -> void;
     auto fail(const std::string& reason) -> void;
     auto pump() -> void;
-    auto carry_out(consensus_ready& ready) -> void;
+    /// Saves and carries out everything that the member has ready; returns
+    /// false if the disk has no room for it.
+    auto carry_out_all() -> bool;
+    /// Carries out a batch that is durable.
+    auto complete(const consensus_ready& ready) -> void;
+    /// Tries again to save a batch for which there was no room; returns whether
+    /// the member may go on.
+    auto resume_storage(time_point now) -> bool;
     auto apply(const log_entry& entry) -> void;
     auto follow_leadership(const log_entry& entry) -> void;
     auto propose(const control_command& command, command_callback done) -> void;
@@ -131,6 +139,7 @@
     asio::strand<asio::io_context::executor_type> strand_;
     asio::steady_timer timer_;
     log_files files_;
+    storage_gate gate_;
     consensus_member member_;
     control_state state_;
     std::unique_ptr<control_coordinator> coordinator_;
--- a/src/transport/control_node_proxies.cpp
+++ b/src/transport/control_node_proxies.cpp
@@ -39,7 +39,7 @@
     if (is_member && type == message_type::consensus) {
         auto message = decode<consensus_message>(payload);
         is_valid = message && message->from.id.value() == link.peer.who.name;
-        if (is_valid) {
+        if (is_valid && !gate_.is_blocked()) {
             member_.step(steady_now(), std::move(*message));
         }
     } else if (is_member && type == message_type::forward_request) {
--- a/src/transport/log_recovery.cpp
+++ b/src/transport/log_recovery.cpp
@@ -75,8 +75,9 @@
         read_segment(number);
     }
     if (member_.last_segment != segments_.rbegin()->first) {
+        // Written with the next batch, so that a start needs no room on disk.
         member_.last_segment = segments_.rbegin()->first;
-        write_member();
+        is_member_file_outdated_ = true;
     }
     join_snapshot_and_entries();
     for (const auto number : stale_segments_) {
@@ -245,7 +246,15 @@
         }
         hooks_.remove(segment_path(number));
         segments_.erase(number);
-        start_segment(number, first_record());
+        if (segments_.empty()) {
+            start_segment(number, first_record());
+            return;
+        }
+        // The segment before is whole; going on in it needs no room on disk.
+        const auto previous = segments_.rbegin()->first;
+        open_segment(previous);
+        segment_size_ = std::filesystem::file_size(segment_path(previous));
+        hooks_.sync(descriptor_);
         return;
     }
     open_segment(number);
--- a/src/transport/log_store.cpp
+++ b/src/transport/log_store.cpp
@@ -35,6 +35,14 @@
     int descriptor_;
 };
 
+/// Whether an operation was refused for lack of room and changed nothing but
+/// the end of the file.
+auto is_out_of_room(const std::error_code& error) -> bool
+{
+    return error == std::errc::no_space_on_device ||
+           error == std::errc::file_too_large || error.value() == EDQUOT;
+}
+
 } // namespace
 
 directory_lock::directory_lock(const std::filesystem::path& directory)
@@ -77,6 +85,11 @@
                                 "start the release that wrote the files");
     } catch (const std::system_error& error) {
         close_segment();
+        if (is_out_of_room(error.code())) {
+            throw log_full_error("data directory " +
+                                 options_.directory.string() +
+                                 " cannot be opened: " + error.what());
+        }
         throw log_storage_error("data directory " +
                                 options_.directory.string() +
                                 " cannot be opened: " + error.what());
@@ -105,6 +118,13 @@
     try {
         save_batch(ready);
     } catch (const std::exception& error) {
+        const auto* const refused =
+            dynamic_cast<const std::system_error*>(&error);
+        if (refused != nullptr && is_out_of_room(refused->code())) {
+            throw log_full_error("no room for the log in " +
+                                 options_.directory.string() + ": " +
+                                 error.what());
+        }
         // What the failed operation left behind is unknown until the files are
         // read again at the next start.
         failure_ = error.what();
@@ -120,6 +140,9 @@
 
 auto log_store::save_batch(const consensus_ready& ready) -> void
 {
+    if (is_member_file_outdated_) {
+        write_member();
+    }
     if (ready.snapshot) {
         save_snapshot(*ready.snapshot);
     }
@@ -186,13 +209,42 @@
     }
     // One record per sync: only the last record of a segment can be torn.
     const auto framed = frame_record(next_sequence_, payload);
+    cut_refused_write();
+    has_refused_write_ = true;
     hooks_.write(descriptor_, framed);
-    hooks_.sync(descriptor_);
+    has_refused_write_ = false;
+    sync(descriptor_);
     ++next_sequence_;
     segment_size_ += framed.size();
     note_written(record);
 }
 
+auto log_store::cut_refused_write() -> void
+{
+    if (has_refused_write_) {
+        hooks_.truncate(descriptor_, segment_size_);
+        has_refused_write_ = false;
+    }
+}
+
+auto log_store::sync(int descriptor) -> void
+{
+    try {
+        hooks_.sync(descriptor);
+    } catch (const std::system_error& error) {
+        throw std::runtime_error(error.what());
+    }
+}
+
+auto log_store::sync_directory() -> void
+{
+    try {
+        hooks_.sync_directory(options_.directory);
+    } catch (const std::system_error& error) {
+        throw std::runtime_error(error.what());
+    }
+}
+
 auto log_store::note_written(const log_record& record) -> void
 {
     state_ = record.state.value_or(state_);
@@ -220,16 +272,30 @@
 auto log_store::start_segment(std::uint64_t number, const log_record& first)
     -> void
 {
-    close_segment();
-    open_segment(number);
+    if (has_refused_write_) {
+        // Only the last segment may end with an incomplete record.
+        cut_refused_write();
+        sync(descriptor_);
+    }
     const auto framed = frame_record(next_sequence_, encode(first));
-    hooks_.write(descriptor_, framed);
-    hooks_.sync(descriptor_);
-    hooks_.sync_directory(options_.directory);
+    const auto descriptor = hooks_.open(segment_path(number));
+    try {
+        // An earlier attempt may have left part of a record.
+        hooks_.truncate(descriptor, 0);
+        hooks_.write(descriptor, framed);
+        sync(descriptor);
+        sync_directory();
+    } catch (...) {
+        hooks_.close(descriptor);
+        throw;
+    }
+    close_segment();
+    descriptor_ = descriptor;
     ++next_sequence_;
     segment_size_ = framed.size();
     segments_[number] = log_index(0);
     member_.last_segment = number;
+    is_member_file_outdated_ = true;
     write_member();
 }
 
@@ -255,7 +321,7 @@
         is_any_removed = true;
     }
     if (is_any_removed) {
-        hooks_.sync_directory(options_.directory);
+        sync_directory();
     }
 }
 
@@ -263,6 +329,7 @@
 {
     replace_file(options_.directory / "member",
                  frame_record(0, encode(member_)));
+    is_member_file_outdated_ = false;
 }
 
 auto log_store::replace_file(const std::filesystem::path& path,
@@ -273,11 +340,19 @@
     {
         const auto descriptor = hooks_.open(temporary);
         const auto guard = open_file_guard(hooks_, descriptor);
-        hooks_.write(descriptor, bytes);
-        hooks_.sync(descriptor);
+        // An earlier attempt may have left part of the file.
+        hooks_.truncate(descriptor, 0);
+        try {
+            hooks_.write(descriptor, bytes);
+        } catch (const std::system_error&) {
+            // Gives back the room that the file takes.
+            hooks_.truncate(descriptor, 0);
+            throw;
+        }
+        sync(descriptor);
     }
     hooks_.rename(temporary, path);
-    hooks_.sync_directory(options_.directory);
+    sync_directory();
 }
 
 auto log_store::segment_path(std::uint64_t number) const
--- a/src/transport/log_store.hpp
+++ b/src/transport/log_store.hpp
@@ -76,6 +76,12 @@
     auto start_segment(std::uint64_t number, const log_record& first) -> void;
     auto open_segment(std::uint64_t number) -> void;
     auto close_segment() noexcept -> void;
+    /// Removes what a refused write left behind the last whole record.
+    auto cut_refused_write() -> void;
+    /// Syncs a file. No error of a sync counts as a full disk, because it
+    /// leaves unknown what earlier writes became.
+    auto sync(int descriptor) -> void;
+    auto sync_directory() -> void;
     auto remove_covered_segments() -> void;
     auto write_member() -> void;
     auto replace_file(const std::filesystem::path& path, std::string_view bytes)
@@ -100,6 +106,10 @@
     std::size_t segment_size_ = 0;
     std::uint64_t next_sequence_ = 1;
     std::uint64_t torn_bytes_ = 0;
+    /// The segment may end with part of a record whose write was refused.
+    bool has_refused_write_ = false;
+    /// The member file names an earlier segment than the last one.
+    bool is_member_file_outdated_ = false;
     /// Why the store refuses further work, or empty.
     std::string failure_;
 };
--- a/src/transport/server_cache.cpp
+++ b/src/transport/server_cache.cpp
@@ -33,7 +33,7 @@
     return saved->records;
 }
 
-auto server_cache::save(const std::vector<server_record>& records) -> void
+auto server_cache::save(const std::vector<server_record>& records) -> bool
 {
     auto next = file_;
     next += ".new";
@@ -52,10 +52,16 @@
         }
         hooks_.close(descriptor);
         hooks_.rename(next, file_);
+        is_failing_ = false;
     } catch (const std::system_error& fault) {
-        log_event("server_cache_not_saved", event_severity::warning)
-            .field("reason", fault.what());
+        if (!std::exchange(is_failing_, true)) {
+            log_event("server_cache_not_saved", event_severity::warning)
+                .field("reason", fault.what());
+        }
+        auto ignored = std::error_code();
+        std::filesystem::remove(next, ignored);
     }
+    return !is_failing_;
 }
 
 } // namespace rhubarbrun::inline v1
