--- a/include/rhubarbrun/coordination/server_directory.hpp
+++ b/include/rhubarbrun/coordination/server_directory.hpp
@@ -75,6 +75,12 @@
         return revision_;
     }
 
+    /// The same for all processes that hold equivalent records.
+    [[nodiscard]] auto digest() const noexcept -> std::uint64_t
+    {
+        return digest_;
+    }
+
 private:
     auto end_others_at_address(time_point now, const server_record& record)
         -> void;
@@ -87,6 +93,8 @@
     std::map<std::string, std::set<target_id>> by_address_;
     std::map<std::uint64_t, target_id> by_revision_;
     std::uint64_t revision_ = 0;
+    /// Sum of the records' hashes.
+    std::uint64_t digest_ = 0;
 };
 
 } // namespace rhubarbrun::inline v1
--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -163,7 +163,16 @@
     [[nodiscard]] auto has_server_at(const std::string& address) const -> bool;
     [[nodiscard]] auto server_of(connection_id id) const -> target_id;
     [[nodiscard]] auto group_of(connection_id id) const -> group_id;
+    /// The same as `server_directory::digest` of equivalent records.
+    [[nodiscard]] auto digest() const noexcept -> std::uint64_t
+    {
+        return digest_;
+    }
     [[nodiscard]] auto health() const -> std::vector<server_health>;
+    /// The same for servers whose last reply or failure is recent enough to
+    /// tell others about their state.
+    [[nodiscard]] auto recent_health(time_point now) const
+        -> std::vector<server_health>;
 
 private:
     static constexpr auto max_window = std::size_t{1000};
@@ -204,6 +213,8 @@
         std::size_t failures = 0;
         std::optional<time_point> answered_at;
         std::optional<time_point> failing_since;
+        /// Time of the last failure of a direct connection.
+        time_point failed_at;
         std::optional<time_point> draining_since;
         server_path path;
     };
@@ -220,6 +231,10 @@
     /// Servers with their scores, lowest first.
     using ranking = std::vector<std::pair<double, server*>>;
 
+    /// Servers of a group. Whatever is done for a statement looks at these
+    /// only, so that it does not cost more with more groups.
+    [[nodiscard]] auto servers_of(const group_id& group) const
+        -> const std::vector<server*>&;
     [[nodiscard]] auto may_use(time_point now, const server& each,
                                const connection_request& need) const -> bool;
     /// Whether the server accepts no further statement of this process for now.
@@ -253,12 +268,14 @@
     open_function open_;
     close_function close_;
     std::map<target_id, server> servers_;
+    std::map<group_id, std::vector<server*>> groups_;
     std::map<connection_id, connection> connections_;
     std::map<group_id, std::uint32_t> limits_;
     std::uint32_t process_count_;
     bool is_process_count_known_ = false;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_claim_ = 0;
+    std::uint64_t digest_ = 0;
 };
 
 } // namespace rhubarbrun::inline v1
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -2,6 +2,7 @@
 #define RHUBARBRUN_COORDINATION_SESSION_RELAY_HPP
 
 #include <rhubarbrun/coordination/commit_observations.hpp>
+#include <rhubarbrun/coordination/group_interest.hpp>
 #include <rhubarbrun/coordination/relay_messages.hpp>
 #include <rhubarbrun/coordination/server_pool.hpp>
 #include <rhubarbrun/state/service_configuration.hpp>
@@ -55,6 +56,10 @@
     /// Whether the configuration is certain enough to deny a database; empty
     /// if it always is.
     std::function<bool()> may_deny = {};
+    /// Asks control for a group's position; `on_position` follows if control
+    /// knows it or learns it soon. Returns false if control cannot be asked;
+    /// empty if it never can.
+    std::function<bool(const group_id&)> ask_position = {};
     /// Reports a served statement and the time since its arrival.
     std::function<void(read_consistency, duration)> on_served = {};
 };
@@ -141,6 +146,13 @@
         record_observation(now, group, asked_at, position);
     }
 
+    /// Groups whose positions control should keep telling.
+    [[nodiscard]] auto groups_of_interest(time_point now)
+        -> std::vector<group_id>
+    {
+        return interest_.groups(now);
+    }
+
     /// Begins a shutdown that must end `grace` later.
     auto drain(time_point now, duration grace) -> void;
 
@@ -308,6 +320,9 @@
     [[nodiscard]] auto needs_primary(const session& caller) const -> bool;
     [[nodiscard]] auto required_position(time_point now, session& caller)
         -> std::optional<log_position>;
+    /// Whether control was asked for the position so recently that its answer
+    /// may still come; asks it if that is due.
+    auto ask_control(time_point now, const group_id& group) -> bool;
     auto request_probe(time_point now, const group_id& group) -> void;
     auto send_probe(time_point now, const group_id& group) -> void;
     auto dispatch(time_point now, session& caller, connection_id id,
@@ -372,6 +387,9 @@
     std::map<session_id, session> sessions_;
     std::map<connection_id, connection> connections_;
     std::map<group_id, commit_observations> observations_;
+    group_interest interest_;
+    /// When control was last asked for the position of a group.
+    std::map<group_id, time_point> asked_control_at_;
     std::map<group_id, std::set<waiting_key>> waiting_;
     /// Groups with a position query in flight, and its start.
     std::map<group_id, time_point> probes_;
--- a/include/rhubarbrun/coordination/sighting_digest.hpp
+++ b/include/rhubarbrun/coordination/sighting_digest.hpp
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -28,8 +27,11 @@
                                          std::size_t count) const
         -> std::vector<std::string>;
 
-    /// Servers in recent reports.
-    [[nodiscard]] auto servers(time_point now) const -> std::set<target_id>;
+    /// The same for every server that any proxy reached recently. The cost
+    /// grows with the number of sightings only.
+    [[nodiscard]] auto reachable_servers(time_point now,
+                                         std::size_t count) const
+        -> std::map<target_id, std::vector<std::string>>;
 
     /// Whether a digest is due: shortly after a failure was reported, otherwise
     /// at longer intervals.
--- /dev/null
+++ b/include/rhubarbrun/coordination/update_pacing.hpp
@@ -0,0 +1,30 @@
+#ifndef RHUBARBRUN_COORDINATION_UPDATE_PACING_HPP
+#define RHUBARBRUN_COORDINATION_UPDATE_PACING_HPP
+
+#include <rhubarbrun/state/units.hpp>
+
+namespace rhubarbrun::inline v1 {
+
+/// When the subscribers of a view are told of changes. The first change is told
+/// at once; those that follow shortly after are told together, so that a burst
+/// of them, such as the announcements at the start of a deployment, costs a
+/// message for each subscriber and interval, not for each subscriber and
+/// change.
+class update_pacing
+{
+public:
+    /// Notes that something changed.
+    auto note_change() noexcept -> void { is_changed_ = true; }
+
+    /// Whether the subscribers are to be told now; the changes noted so far
+    /// count as told then.
+    [[nodiscard]] auto take_due(time_point now) noexcept -> bool;
+
+private:
+    bool is_changed_ = false;
+    time_point told_at_;
+};
+
+} // namespace rhubarbrun::inline v1
+
+#endif
--- a/include/rhubarbrun/protocol/frame.hpp
+++ b/include/rhubarbrun/protocol/frame.hpp
@@ -56,6 +56,12 @@
     proxy_census = 100,
     freshness_question = 101,
     freshness_answer = 102,
+    /// Since version 3.
+    view_subscription = 103,
+    position_request = 104,
+    position_update = 105,
+    server_changes = 106,
+    configuration_delta = 107,
 };
 
 /// One authenticated message.
--- a/include/rhubarbrun/protocol/link_handshake.hpp
+++ b/include/rhubarbrun/protocol/link_handshake.hpp
@@ -22,8 +22,9 @@
 
 /// Versions that this build speaks. Version 2 adds `forward_cancel`, the
 /// agreement to close an idle link, and the count of live proxies in
-/// `lease_answer`.
-inline constexpr auto supported_versions = version_range{1, 2};
+/// `lease_answer`. Version 3 adds positions by interest,
+/// and changes of servers and configuration that are as small as they can be.
+inline constexpr auto supported_versions = version_range{1, 3};
 
 /// Whether a peer that speaks `version` knows messages of this type. One that
 /// does not closes the link.
@@ -37,6 +38,12 @@
     case message_type::close_revoke:
     case message_type::forward_cancel:
         return version >= 2;
+    case message_type::view_subscription:
+    case message_type::position_request:
+    case message_type::position_update:
+    case message_type::server_changes:
+    case message_type::configuration_delta:
+        return version >= 3;
     default:
         return true;
     }
--- a/include/rhubarbrun/protocol/view_messages.hpp
+++ b/include/rhubarbrun/protocol/view_messages.hpp
@@ -162,6 +162,82 @@
     }
 };
 
+/// Proxy to control: what the proxy needs and what it has, on a new link and
+/// whenever the groups change. Without it, it needs everything and has nothing.
+struct view_subscription
+{
+    /// Groups whose positions the answers to view requests are to hold.
+    std::vector<group_id> groups;
+    /// `server_directory::digest` of the records that the proxy holds.
+    std::uint64_t digest = 0;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(groups, digest);
+    }
+};
+
+/// Servers that changed, to a proxy, and announcements that changed nothing, to
+/// the leader.
+struct server_changes
+{
+    /// `server_announcements`, compressed.
+    std::string packed;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(packed);
+    }
+};
+
+/// Control to proxy: turns the configuration that the proxy holds into a newer
+/// one.
+struct configuration_delta
+{
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    /// As `make_delta` makes it.
+    std::string delta;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(from, to, delta);
+    }
+};
+
+/// Proxy to control: asks for positions that reads wait for.
+struct position_request
+{
+    /// Repeated by the updates. Numbers of one proxy ascend.
+    std::uint64_t number = 0;
+    std::vector<group_id> groups;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(number, groups);
+    }
+};
+
+/// Control to proxy: positions that a `position_request` asked for, as soon as
+/// they are known. Their `asked_ago_ms` count back from the moment at which the
+/// request arrived, so that they are negative for a position that was asked
+/// for because of it.
+struct position_update
+{
+    std::uint64_t answers = 0;
+    std::vector<position_record> positions;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(answers, positions);
+    }
+};
+
 /// Control to proxy, as an answer and whenever something changed.
 struct view_update
 {
@@ -173,7 +249,8 @@
     std::uint64_t configuration_version = 0;
     /// Compressed document; empty if the proxy holds this version.
     std::string configuration;
-    /// Changed since the last update on the link.
+    /// Changed since the last update on the link; empty for a peer that gets
+    /// `server_changes`.
     std::vector<server_record> servers;
     std::vector<control_member_record> control_members;
     /// Proxies of the whole deployment, which share the servers' connections.
--- a/include/rhubarbrun/state/server_record.hpp
+++ b/include/rhubarbrun/state/server_record.hpp
@@ -63,6 +63,9 @@
                slots == other.slots && started_at == other.started_at;
     }
 
+    /// Hash of all that affects routing; equal for equivalent records.
+    [[nodiscard]] auto routing_hash() const noexcept -> std::uint64_t;
+
     template <class Archive>
     auto serialize(Archive& archive) -> void
     {
--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -110,9 +110,12 @@
                      const std::optional<log_position>& position) -> void;
     auto supervise(const group_id& group, std::uint32_t count) -> void;
 
-    /// Number that orders this leader's commands after those of all earlier
-    /// ones; no value unless this member certainly leads now.
-    [[nodiscard]] auto fencing_token() const -> std::optional<std::uint64_t>;
+    /// Whether this member certainly leads now.
+    [[nodiscard]] auto has_lease() const -> bool;
+    /// Number for this leader's next order, above those of all its earlier ones
+    /// and of all earlier leaders; no value unless this member certainly leads
+    /// now.
+    [[nodiscard]] auto next_fencing_token() -> std::optional<std::uint64_t>;
     /// Address of the leader as far as it is known.
     [[nodiscard]] auto leader() const -> std::optional<std::string>;
     /// Whether this member may lead.
--- a/include/rhubarbrun/transport/peer_links.hpp
+++ b/include/rhubarbrun/transport/peer_links.hpp
@@ -67,6 +67,11 @@
     std::function<bool(const link_info&)> is_busy = {};
 };
 
+/// Whether the text is an IP address, as the names of control members are
+/// where nothing but an address is known of them. A name that came in a message
+/// or a file is checked before it is connected to.
+[[nodiscard]] auto is_address(const std::string& text) -> bool;
+
 /// Authenticated TCP links between rhubarbrun processes.
 ///
 /// All functions may be called from any thread.
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -49,6 +49,13 @@
     std::function<void(const group_id&, time_point asked_at,
                        const log_position&)>
         on_position = {};
+    /// What is needed and held, apart from the configuration; empty if
+    /// everything is needed.
+    std::function<view_subscription()> subscription = {};
+    /// A newer configuration, as a text. If it is empty, `on_update` gets whole
+    /// configurations, compressed.
+    std::function<void(const std::string& member, const std::string& text)>
+        on_configuration = {};
 };
 
 /// Keeps a proxy's view of servers and configuration up to date.
@@ -67,6 +74,10 @@
     auto start() -> void;
     auto stop() -> void;
 
+    /// Asks the followed member for the position of a group, which
+    /// `on_position` gets. Returns false if no member can be asked.
+    auto ask_position(const group_id& group) -> bool;
+
     /// The view holds everything that was acknowledged before this long ago;
     /// no value if that is not known.
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>;
--- a/include/rhubarbrun/transport/worker_pool.hpp
+++ b/include/rhubarbrun/transport/worker_pool.hpp
@@ -38,6 +38,11 @@
     std::vector<std::thread> threads_;
 };
 
+/// Runs the handlers of an io_context until it is stopped or has no more work.
+/// An exception that leaves a handler is logged, and the others go on: one
+/// handler's fault must not end the service of all others.
+auto run_handlers(asio::io_context& context) -> void;
+
 /// Microseconds since the VM's start, time in suspension included.
 [[nodiscard]] auto steady_now() noexcept -> time_point;
 
--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -3,6 +3,7 @@
 
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/log_files.hpp>
+#include <rhubarbrun/transport/worker_pool.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -57,7 +58,7 @@
         }
     });
     node.start();
-    context.run();
+    run_handlers(context);
     return EXIT_SUCCESS;
 }
 
@@ -118,7 +119,7 @@
         last_answers.async_wait([&](error_code) { context.stop(); });
     });
     node.start();
-    context.run();
+    run_handlers(context);
     node.stop();
     return code;
 }
--- a/src/coordination/position_watch.cpp
+++ b/src/coordination/position_watch.cpp
@@ -14,6 +14,9 @@
 constexpr auto query_timeout = milliseconds(800);
 /// Older observations are not passed on, as they are of no use to proxies.
 constexpr auto observation_ttl = std::chrono::seconds(5);
+/// Proxies repeat every 500 ms which groups they read; a few of these may be
+/// late.
+constexpr auto want_ttl = std::chrono::seconds(3);
 
 } // namespace
 
@@ -24,26 +27,63 @@
     groups_.try_emplace(group);
 }
 
+auto position_watch::want(time_point now, const group_id& group) -> void
+{
+    const auto found = groups_.find(group);
+    if (found != groups_.end()) {
+        found->second.wanted_until = now + want_ttl;
+    }
+}
+
+auto position_watch::want_all(time_point now) -> void
+{
+    for (auto& [id, group] : groups_) {
+        group.wanted_until = now + want_ttl;
+    }
+}
+
+auto position_watch::query_now(time_point now, const group_id& group,
+                               const server_directory& directory) -> bool
+{
+    const auto found = groups_.find(group);
+    if (found == groups_.end()) {
+        return false;
+    }
+    want(now, group);
+    auto& watched = found->second;
+    if (watched.is_asking && now - watched.asked_at < query_timeout) {
+        return true;
+    }
+    return query(now, group, watched, directory);
+}
+
 auto position_watch::tick(time_point now, const server_directory& directory)
     -> void
 {
     for (auto& [id, group] : groups_) {
         const auto pause = group.is_asking ? query_timeout : query_interval;
-        if (now - group.asked_at < pause) {
-            continue;
+        if (now <= group.wanted_until && now - group.asked_at >= pause) {
+            query(now, id, group, directory);
         }
-        const auto* const primary = directory.claimed_primary(id);
-        // A primary that shuts down gets no new work.
-        if (primary == nullptr ||
-            primary->record.state != server_availability::ready) {
-            continue;
-        }
-        group.asked_at = now;
-        group.is_asking = true;
-        ask_(primary->record, now);
     }
 }
 
+auto position_watch::query(time_point now, const group_id& id,
+                           watched_group& group,
+                           const server_directory& directory) -> bool
+{
+    const auto* const primary = directory.claimed_primary(id);
+    // A primary that shuts down gets no new work.
+    if (primary == nullptr ||
+        primary->record.state != server_availability::ready) {
+        return false;
+    }
+    group.asked_at = now;
+    group.is_asking = true;
+    ask_(primary->record, now);
+    return true;
+}
+
 auto position_watch::on_position(const group_id& group, time_point asked_at,
                                  const std::optional<log_position>& position)
     -> void
@@ -68,6 +108,16 @@
     }
 }
 
+auto position_watch::find(time_point now, const group_id& group) const
+    -> const observation*
+{
+    const auto found = groups_.find(group);
+    return found != groups_.end() && found->second.newest &&
+                   now - found->second.newest->asked_at < observation_ttl
+               ? &*found->second.newest
+               : nullptr;
+}
+
 auto position_watch::observations(time_point now) const
     -> std::vector<observation>
 {
--- a/src/coordination/server_directory.cpp
+++ b/src/coordination/server_directory.cpp
@@ -21,6 +21,10 @@
     }
     known.heard_at = now;
     const auto is_changed = is_first || !record.is_equivalent(known.record);
+    if (is_changed) {
+        digest_ -= is_first ? 0 : known.record.routing_hash();
+        digest_ += record.routing_hash();
+    }
     if (!is_first && known.record.group != record.group) {
         by_group_[known.record.group].erase(record.id);
     }
@@ -70,7 +74,9 @@
     }
     auto& known = found->second;
     if (known.record.state != server_availability::gone) {
+        digest_ -= known.record.routing_hash();
         known.record.state = server_availability::gone;
+        digest_ += known.record.routing_hash();
         known.record.sequence = final_sequence;
         known.heard_at = now;
         mark_changed(known);
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -40,6 +40,9 @@
 /// No connections beyond the share are opened to a server for this long after
 /// it was full.
 constexpr auto burst_backoff = std::chrono::seconds(2);
+/// What this process saw of a server says nothing about its state any more
+/// after this long.
+constexpr auto health_ttl = std::chrono::seconds(2);
 /// Number of processes assumed until control reports it.
 constexpr auto default_process_count = std::uint32_t{16};
 
@@ -72,10 +75,21 @@
 auto server_pool::update(time_point now, const server_record& record) -> void
 {
     auto& each = servers_[record.id];
+    const auto is_known = !each.record.id.is_empty();
+    if (is_known && !record.is_newer_than(each.record)) {
+        // Such as from a control member that started with old hints.
+        return;
+    }
+    digest_ -= is_known ? each.record.routing_hash() : 0;
+    digest_ += record.routing_hash();
     const auto is_restart = each.record.started_at != record.started_at ||
                             each.record.address != record.address;
     const auto was_primary =
         !is_restart && each.record.role == server_role::primary;
+    if (each.record.group != record.group) {
+        std::erase(groups_[each.record.group], &each);
+        groups_[record.group].push_back(&each);
+    }
     each.record = record;
     if (is_restart) {
         each.path = {};
@@ -227,6 +241,7 @@
         if (!each.failing_since) {
             each.failing_since = now;
         }
+        each.failed_at = now;
         close_idle_by_path(each, true);
     }
     if (each.path.has_usable_detour()) {
@@ -402,8 +417,12 @@
 {
     auto is_scarce = false;
     for (auto& [id, each] : servers_) {
-        close_unused(now, each);
-        is_scarce |= has_scarce_connections(each);
+        const auto is_at_rest =
+            each.open == 0 && each.idle_limit >= options_.max_scarce_idle_time;
+        if (!is_at_rest) {
+            close_unused(now, each);
+            is_scarce |= has_scarce_connections(each);
+        }
     }
     return now + (is_scarce ? scarce_tick_interval : tick_interval);
 }
@@ -436,6 +455,14 @@
     });
 }
 
+auto server_pool::servers_of(const group_id& group) const
+    -> const std::vector<server*>&
+{
+    static const auto none = std::vector<server*>();
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? none : found->second;
+}
+
 auto server_pool::server_of(connection_id id) const -> target_id
 {
     const auto found = connections_.find(id);
@@ -448,6 +475,18 @@
     return found == servers_.end() ? group_id() : found->second.record.group;
 }
 
+auto server_pool::recent_health(time_point now) const
+    -> std::vector<server_health>
+{
+    auto result = health();
+    std::erase_if(result, [&](const auto& each) {
+        const auto last = each.failing_since ? servers_.at(each.id).failed_at
+                                             : *each.answered_at;
+        return now - last > health_ttl;
+    });
+    return result;
+}
+
 auto server_pool::health() const -> std::vector<server_health>
 {
     auto result = std::vector<server_health>();
--- a/src/coordination/server_pool_choice.cpp
+++ b/src/coordination/server_pool_choice.cpp
@@ -44,13 +44,11 @@
     if (each.claim == 0 || each.is_claim_refused) {
         return false;
     }
-    return std::none_of(
-        servers_.begin(), servers_.end(), [&](const auto& other) {
-            return other.second.record.group == each.record.group &&
-                   other.second.claim > each.claim &&
-                   !other.second.is_claim_refused &&
-                   other.second.record.state != server_availability::gone;
-        });
+    const auto& others = servers_of(each.record.group);
+    return std::none_of(others.begin(), others.end(), [&](const auto* other) {
+        return other->claim > each.claim && !other->is_claim_refused &&
+               other->record.state != server_availability::gone;
+    });
 }
 
 auto server_pool::may_use(time_point now, const server& each,
@@ -74,8 +72,9 @@
                                     const connection_request& need) const
     -> bool
 {
-    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
-        return may_use(now, each.second, need);
+    const auto& servers = servers_of(need.group);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto* each) {
+        return may_use(now, *each, need);
     });
 }
 
@@ -83,19 +82,18 @@
     -> std::optional<time_point>
 {
     auto since = std::optional<time_point>();
-    for (const auto& [id, each] : servers_) {
+    for (const auto* const each : servers_of(need.group)) {
         const auto is_candidate =
-            each.record.group == need.group &&
-            each.record.state != server_availability::gone &&
-            (!need.is_primary_needed || is_primary(each));
+            each->record.state != server_availability::gone &&
+            (!need.is_primary_needed || is_primary(*each));
         if (!is_candidate) {
             continue;
         }
-        if (!each.failing_since || each.path.has_usable_detour()) {
+        if (!each->failing_since || each->path.has_usable_detour()) {
             return std::nullopt;
         }
-        since =
-            std::max(since.value_or(*each.failing_since), *each.failing_since);
+        since = std::max(since.value_or(*each->failing_since),
+                         *each->failing_since);
     }
     return since;
 }
@@ -104,12 +102,11 @@
                                         const connection_request& need) const
     -> bool
 {
+    const auto& servers = servers_of(need.group);
     return need.is_primary_needed &&
-           std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
-               const auto& known = each.second;
-               return known.record.group == need.group &&
-                      now < known.out_of_connections_until &&
-                      known.open == known.connecting && is_primary(known);
+           std::any_of(servers.begin(), servers.end(), [&](const auto* each) {
+               return now < each->out_of_connections_until &&
+                      each->open == each->connecting && is_primary(*each);
            });
 }
 
@@ -176,10 +173,10 @@
     -> ranking
 {
     auto ranked = ranking();
-    for (auto& [id, each] : servers_) {
-        if (may_use(now, each, need)) {
-            ranked.emplace_back(score(now, each, need.is_primary_needed),
-                                &each);
+    for (auto* const each : servers_of(need.group)) {
+        if (may_use(now, *each, need)) {
+            ranked.emplace_back(score(now, *each, need.is_primary_needed),
+                                each);
         }
     }
     if (!need.is_primary_needed) {
@@ -249,11 +246,11 @@
     -> bool
 {
     auto is_any = false;
-    for (const auto& [id, each] : servers_) {
-        if (!may_use(now, each, need) || now < each.lagging_until) {
+    for (const auto* const each : servers_of(need.group)) {
+        if (!may_use(now, *each, need) || now < each->lagging_until) {
             continue;
         }
-        if (!is_saturated(now, each)) {
+        if (!is_saturated(now, *each)) {
             return false;
         }
         is_any = true;
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -88,6 +88,17 @@
     caller.id = id;
     caller.database = std::move(database);
     caller.idle_since = now;
+    // The session's first read should find a position.
+    if (const auto reference = find_route(caller.database);
+        reference.route != nullptr &&
+        reference.route->consistency != read_consistency::primary)
+    {
+        interest_.note(now, reference.route->group);
+        const auto latest = observations_[reference.route->group].latest();
+        if (!latest || now - *latest > reference.route->staleness_limit) {
+            static_cast<void>(ask_control(now, reference.route->group));
+        }
+    }
 }
 
 auto session_relay::end_session(time_point now, session_id id) -> void
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -11,8 +11,12 @@
 /// newest is older than this percentage of the limit, the relay queries the
 /// primary directly; the rest of the limit is time for its reply.
 constexpr auto refresh_percentage = 75;
-/// A probe without a reply is repeated after this long.
+/// A probe without a reply is repeated after this long, and so is a question
+/// to control.
 constexpr auto probe_timeout = milliseconds(400);
+/// Time for control to answer, which may have to ask the primary in another
+/// region. After it the relay asks the primary itself.
+constexpr auto control_answer_time = milliseconds(100);
 /// The loss of a primary is detected, and its successor promoted and announced,
 /// within this time.
 constexpr auto outage_timeout = milliseconds(3500);
@@ -113,8 +117,11 @@
     const auto& route = *current.route.route;
     const auto& observed = observations_[route.group];
     const auto latest = observed.latest();
-    if (!latest ||
-        now - *latest > route.staleness_limit * refresh_percentage / 100) {
+    interest_.note(now, route.group);
+    const auto is_refresh_due =
+        !latest ||
+        now - *latest > route.staleness_limit * refresh_percentage / 100;
+    if (is_refresh_due && !ask_control(now, route.group)) {
         request_probe(now, route.group);
     }
     const auto arrived = caller.open ? caller.open->arrived : current.arrived;
@@ -129,6 +136,21 @@
     return position;
 }
 
+auto session_relay::ask_control(time_point now, const group_id& group) -> bool
+{
+    if (!hooks_.ask_position) {
+        return false;
+    }
+    auto& asked_at = asked_control_at_[group];
+    if (now - asked_at >= probe_timeout) {
+        if (!hooks_.ask_position(group)) {
+            return false;
+        }
+        asked_at = now;
+    }
+    return now - asked_at < control_answer_time;
+}
+
 auto session_relay::request_probe(time_point now, const group_id& group) -> void
 {
     const auto running = probes_.find(group);
--- a/src/coordination/sighting_digest.cpp
+++ b/src/coordination/sighting_digest.cpp
@@ -27,6 +27,20 @@
     }
 }
 
+/// The proxies with the most recent replies.
+auto nearest(std::vector<std::pair<duration, std::string>> found,
+             std::size_t count) -> std::vector<std::string>
+{
+    std::sort(found.begin(), found.end());
+    auto result = std::vector<std::string>();
+    for (auto& each : found) {
+        if (result.size() < count) {
+            result.push_back(std::move(each.second));
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 auto sighting_digest::add(time_point now, const std::string& proxy,
@@ -55,26 +69,27 @@
             }
         }
     }
-    std::sort(found.begin(), found.end());
-    auto result = std::vector<std::string>();
-    for (const auto& each : found) {
-        if (result.size() < count) {
-            result.push_back(each.second);
-        }
-    }
-    return result;
+    return nearest(std::move(found), count);
 }
 
-auto sighting_digest::servers(time_point now) const -> std::set<target_id>
+auto sighting_digest::reachable_servers(time_point now, std::size_t count) const
+    -> std::map<target_id, std::vector<std::string>>
 {
-    auto result = std::set<target_id>();
+    auto found =
+        std::map<target_id, std::vector<std::pair<duration, std::string>>>();
     for (const auto& [proxy, told] : reports_) {
-        if (now - told.reported_at <= report_ttl) {
-            for (const auto& each : told.sightings) {
-                result.insert(each.server);
+        const auto age = now - told.reported_at;
+        for (const auto& each : told.sightings) {
+            if (each.answered_ago && *each.answered_ago + age <= report_ttl) {
+                found[each.server].emplace_back(*each.answered_ago + age,
+                                                proxy);
             }
         }
     }
+    auto result = std::map<target_id, std::vector<std::string>>();
+    for (auto& [server, proxies] : found) {
+        result[server] = nearest(std::move(proxies), count);
+    }
     return result;
 }
 
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -22,6 +22,10 @@
 /// segment and one command beyond it.
 constexpr auto bytes_per_snapshot = std::size_t{8} * 1024 * 1024;
 
+/// Configurations to which deltas are made. A proxy that holds an older one
+/// gets the newest whole.
+constexpr auto documents_kept = std::size_t{6};
+
 auto to_peer(const member_id& id) -> peer_name
 {
     return {peer_role::control, id.value()};
@@ -140,8 +144,14 @@
 
 auto configuration_node::implementation::tell_configuration() -> void
 {
-    hooks_.on_configuration(history_.newest().version,
-                            decompress_text(history_.newest().packed));
+    const auto version = history_.newest().version;
+    auto& text = documents_[version];
+    text = decompress_text(history_.newest().packed);
+    deltas_.clear();
+    while (documents_.size() > documents_kept) {
+        documents_.erase(documents_.begin());
+    }
+    hooks_.on_configuration(version, text);
 }
 
 auto configuration_node::implementation::submit(std::uint64_t version,
@@ -447,6 +457,8 @@
                 self->log_freshness(at);
                 self->supervisor_.tick(at, self->directory_);
                 self->tell_leader(at);
+                self->send_renewals(at);
+                self->push_servers(at);
                 if (!self->proxies_.empty()) {
                     self->positions_.tick(at, self->directory_);
                 }
@@ -554,19 +566,24 @@
     -> void
 {
     implementation_->supervisor().supervise(group, count);
-    implementation_->positions().watch(group);
+    implementation_->watch(group);
 }
 
 auto configuration_node::on_position(
     const group_id& group, time_point asked_at,
     const std::optional<log_position>& position) -> void
 {
-    implementation_->positions().on_position(group, asked_at, position);
+    implementation_->on_position(group, asked_at, position);
+}
+
+auto configuration_node::has_lease() const -> bool
+{
+    return implementation_->has_lease();
 }
 
-auto configuration_node::fencing_token() const -> std::optional<std::uint64_t>
+auto configuration_node::next_fencing_token() -> std::optional<std::uint64_t>
 {
-    return implementation_->fencing_token();
+    return implementation_->next_fencing_token();
 }
 
 auto configuration_node::leader() const -> std::optional<std::string>
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -2,10 +2,13 @@
 #define RHUBARBRUN_SRC_TRANSPORT_CONFIGURATION_NODE_IMPLEMENTATION_HPP
 
 #include <rhubarbrun/coordination/consensus.hpp>
+#include <rhubarbrun/coordination/fencing_sequence.hpp>
 #include <rhubarbrun/coordination/member_choice.hpp>
+#include <rhubarbrun/coordination/renewal_batch.hpp>
 #include <rhubarbrun/coordination/sighting_digest.hpp>
 #include <rhubarbrun/coordination/state_freshness.hpp>
 #include <rhubarbrun/coordination/storage_gate.hpp>
+#include <rhubarbrun/coordination/update_pacing.hpp>
 #include <rhubarbrun/protocol/view_messages.hpp>
 #include <rhubarbrun/transport/configuration_node.hpp>
 #include <rhubarbrun/transport/log_files.hpp>
@@ -42,15 +45,21 @@
     auto withdraw(const target_id& server) -> void;
 
     auto supervisor() -> primary_supervisor& { return supervisor_; }
-    auto positions() -> position_watch& { return positions_; }
+    auto on_position(const group_id& group, time_point asked_at,
+                     const std::optional<log_position>& position) -> void;
+    auto watch(const group_id& group) -> void { positions_.watch(group); }
 
-    [[nodiscard]] auto fencing_token() const -> std::optional<std::uint64_t>
+    [[nodiscard]] auto has_lease() const -> bool
     {
-        const auto now = steady_now();
-        if (!is_leader() || !member_->has_leader_lease(now)) {
+        return is_leader() && member_->has_leader_lease(steady_now());
+    }
+
+    [[nodiscard]] auto next_fencing_token() -> std::optional<std::uint64_t>
+    {
+        if (!has_lease()) {
             return std::nullopt;
         }
-        return member_->status(now).current.value();
+        return fencing_.next(member_->status(steady_now()).current);
     }
 
     [[nodiscard]] auto leader() const -> std::optional<std::string>
@@ -98,6 +107,16 @@
     {
         std::uint64_t directory_revision = 0;
         std::uint64_t configuration_version = 0;
+        /// Groups whose positions the proxy needs; no value if all, and if it
+        /// takes no packed changes.
+        std::optional<std::vector<group_id>> interest;
+    };
+    /// A request of a proxy for a position that is not known yet.
+    struct position_waiter
+    {
+        link_id link;
+        std::uint64_t number = 0;
+        time_point received_at;
     };
 
     [[nodiscard]] auto voters_needed() const -> std::size_t
@@ -113,6 +132,18 @@
     auto on_view_request(const link_info& link, const view_request& request)
         -> void;
     auto on_report(const sighting_report& report) -> void;
+    auto on_subscription(const link_info& link, view_subscription message)
+        -> void;
+    /// Sends the servers that changed since the subscriber was told.
+    auto send_server_changes(link_id link, subscriber& to) -> void;
+    /// Sends what turns the subscriber's configuration into the newest; returns
+    /// false if it needs the whole.
+    auto send_delta(link_id link, const subscriber& to) -> bool;
+    auto on_position_request(const link_info& link,
+                             const position_request& request) -> void;
+    /// Positions for an answer to the subscriber.
+    [[nodiscard]] auto positions_for(time_point now, const subscriber& to)
+        -> std::vector<position_record>;
     auto share(const server_record& record) -> void;
     /// Sends to every control process, members of the group or not.
     auto send_to_control(message_type type, const std::string& payload) -> void;
@@ -136,7 +167,12 @@
     [[nodiscard]] auto own_detours() const -> std::vector<detour_record>;
     /// Passes on what this member's proxies see of the servers.
     auto tell_leader(time_point now) -> void;
+    /// Tells the proxies of changes of servers, which may wait for others.
+    auto push_servers(time_point now) -> void;
+    /// Tells the proxies of everything that they lack.
     auto push_updates() -> void;
+    /// Tells the leader which servers are alive.
+    auto send_renewals(time_point now) -> void;
     /// Notes that the state is the newest, or asks the leader how new it is.
     auto refresh_state(time_point now) -> void;
     auto answer_freshness(const link_info& link,
@@ -172,10 +208,27 @@
     peer_links links_;
     std::unique_ptr<consensus_member> member_;
     state_freshness freshness_;
+    fencing_sequence fencing_;
     configuration_history history_;
     server_directory directory_;
     primary_supervisor supervisor_;
     position_watch positions_;
+    std::map<group_id, std::vector<position_waiter>> position_waiters_;
+    update_pacing server_updates_;
+    /// The changes that were sent last, which most subscribers lack alike: the
+    /// revisions between which they lie, and the message.
+    struct packed_changes
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        std::string message;
+    };
+    packed_changes last_changes_;
+    /// Configurations that were in force lately, as texts, by version.
+    std::map<std::uint64_t, std::string> documents_;
+    /// Deltas to the newest, by the version that they change.
+    std::map<std::uint64_t, std::string> deltas_;
+    renewal_batch renewals_;
     /// What this member's proxies told.
     sighting_digest digest_;
     std::map<link_id, subscriber> proxies_;
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -1,5 +1,7 @@
 #include "configuration_node_implementation.hpp"
 
+#include <rhubarbrun/protocol/document_delta.hpp>
+#include <rhubarbrun/protocol/text_compression.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 
 #include <algorithm>
@@ -15,6 +17,10 @@
 constexpr auto cache_interval = milliseconds(250);
 /// After a failure, so that old hints do not stay on a disk that was full.
 constexpr auto cache_retry_interval = std::chrono::seconds(1);
+/// A position that is younger is told as it is to a proxy that asks for one.
+constexpr auto recent_position = milliseconds(700);
+/// A proxy asks again, or asks the primary, before this has passed.
+constexpr auto position_patience = milliseconds(800);
 /// Proxies that a member names as a way to one server.
 constexpr auto detours_told = std::size_t{2};
 
@@ -89,6 +95,7 @@
         }
     }
     wanted.erase(options_.address);
+    std::erase_if(wanted, [](const auto& name) { return !is_address(name); });
     auto contacts = std::vector<member_id>();
     const auto is_member = std::find(members.begin(), members.end(),
                                      options_.address) != members.end();
@@ -163,6 +170,27 @@
                 on_view_request(link, *message);
             }
             break;
+        case message_type::view_subscription:
+            if (auto message = decode<view_subscription>(payload)) {
+                on_subscription(link, std::move(*message));
+            }
+            break;
+        case message_type::server_changes:
+            if (const auto changes = decode<server_changes>(payload)) {
+                const auto message = decode<server_announcements>(
+                    decompress_text(changes->packed));
+                for (const auto& record :
+                     message ? message->records : std::vector<server_record>())
+                {
+                    announce(record, false);
+                }
+            }
+            break;
+        case message_type::position_request:
+            if (const auto message = decode<position_request>(payload)) {
+                on_position_request(link, *message);
+            }
+            break;
         case message_type::sighting_report:
             if (const auto message = decode<sighting_report>(payload)) {
                 on_report(*message);
@@ -202,13 +230,11 @@
 auto configuration_node::implementation::own_detours() const
     -> std::vector<detour_record>
 {
-    const auto now = steady_now();
     auto result = std::vector<detour_record>();
-    for (const auto& server : digest_.servers(now)) {
-        auto proxies = digest_.reachable_through(now, server, detours_told);
-        if (!proxies.empty()) {
-            result.push_back({server, std::move(proxies)});
-        }
+    for (auto& [server, proxies] :
+         digest_.reachable_servers(steady_now(), detours_told))
+    {
+        result.push_back({server, std::move(proxies)});
     }
     return result;
 }
@@ -306,11 +332,15 @@
     }
     update.configuration_version = history_.newest().version;
     if (to.configuration_version < history_.newest().version) {
-        update.configuration = history_.newest().packed;
+        if (!to.interest || !send_delta(link, to)) {
+            update.configuration = history_.newest().packed;
+        }
         to.configuration_version = history_.newest().version;
     }
-    update.servers = directory_.changed_since(to.directory_revision);
-    to.directory_revision = directory_.revision();
+    if (!to.interest) {
+        update.servers = directory_.changed_since(to.directory_revision);
+        to.directory_revision = directory_.revision();
+    }
     for (const auto& name : member_names()) {
         const auto told = census_.find(name);
         const auto region = name == options_.address ? options_.region
@@ -322,13 +352,132 @@
     if (answered != nullptr) {
         update.answers = answered->number;
         update.detours = detours_for(answered->report);
-        const auto now = steady_now();
+        update.positions = positions_for(steady_now(), to);
+    }
+    links_.send(link, message_type::view_update, encode(update));
+    // After the answer, which a proxy that tries members waits for.
+    send_server_changes(link, to);
+}
+
+auto configuration_node::implementation::on_subscription(
+    const link_info& link, view_subscription message) -> void
+{
+    auto& to = proxies_[link.id];
+    if (!to.interest && message.digest == directory_.digest()) {
+        to.directory_revision = directory_.revision();
+    }
+    to.interest = std::move(message.groups);
+}
+
+auto configuration_node::implementation::send_server_changes(link_id link,
+                                                             subscriber& to)
+    -> void
+{
+    if (!to.interest || to.directory_revision >= directory_.revision()) {
+        return;
+    }
+    auto& last = last_changes_;
+    if (last.from != to.directory_revision ||
+        last.to != directory_.revision() || last.message.empty())
+    {
+        const auto changed = server_announcements{
+            directory_.changed_since(to.directory_revision)};
+        last = {to.directory_revision, directory_.revision(),
+                encode(server_changes{compress_text(encode(changed))})};
+    }
+    links_.send(link, message_type::server_changes, last.message);
+    to.directory_revision = directory_.revision();
+}
+
+auto configuration_node::implementation::send_delta(link_id link,
+                                                    const subscriber& to)
+    -> bool
+{
+    const auto from = to.configuration_version;
+    const auto newest = history_.newest().version;
+    const auto base = documents_.find(from);
+    const auto target = documents_.find(newest);
+    if (base == documents_.end() || target == documents_.end()) {
+        return false;
+    }
+    auto& delta = deltas_[from];
+    if (delta.empty()) {
+        delta = encode(configuration_delta{
+            from, newest, make_delta(base->second, target->second)});
+    }
+    links_.send(link, message_type::configuration_delta, delta);
+    return true;
+}
+
+auto configuration_node::implementation::positions_for(time_point now,
+                                                       const subscriber& to)
+    -> std::vector<position_record>
+{
+    auto records = std::vector<position_record>();
+    const auto add = [&](const position_watch::observation& each) {
+        const auto age = to_milliseconds(now - each.asked_at) + 1;
+        records.push_back({each.group, each.position, age});
+    };
+    if (!to.interest) {
+        positions_.want_all(now);
         for (const auto& each : positions_.observations(now)) {
-            const auto age = to_milliseconds(now - each.asked_at) + 1;
-            update.positions.push_back({each.group, each.position, age});
+            add(each);
         }
+        return records;
+    }
+    for (const auto& group : *to.interest) {
+        positions_.want(now, group);
+        if (const auto* const known = positions_.find(now, group)) {
+            add(*known);
+        }
+    }
+    return records;
+}
+
+auto configuration_node::implementation::on_position_request(
+    const link_info& link, const position_request& request) -> void
+{
+    const auto now = steady_now();
+    auto update = position_update{request.number, {}};
+    for (const auto& group : request.groups) {
+        const auto* const known = positions_.find(now, group);
+        if (known != nullptr && now - known->asked_at < recent_position) {
+            positions_.want(now, group);
+            update.positions.push_back(
+                {group, known->position,
+                 to_milliseconds(now - known->asked_at) + 1});
+        } else if (positions_.query_now(now, group, directory_)) {
+            auto& waiters = position_waiters_[group];
+            std::erase_if(waiters, [&](const auto& each) {
+                return now - each.received_at > position_patience;
+            });
+            waiters.push_back({link.id, request.number, now});
+        }
+    }
+    if (!update.positions.empty()) {
+        links_.send(link.id, message_type::position_update, encode(update));
     }
-    links_.send(link, message_type::view_update, encode(update));
+}
+
+auto configuration_node::implementation::on_position(
+    const group_id& group, time_point asked_at,
+    const std::optional<log_position>& position) -> void
+{
+    positions_.on_position(group, asked_at, position);
+    const auto waiting = position_waiters_.find(group);
+    const auto* const known = positions_.find(steady_now(), group);
+    if (!position || known == nullptr || waiting == position_waiters_.end()) {
+        return;
+    }
+    for (const auto& each : waiting->second) {
+        const auto offset = each.received_at - known->asked_at;
+        // Rounded so that the position never looks younger than it is.
+        const auto asked_ago = to_milliseconds(offset) + 1;
+        links_.send(each.link, message_type::position_update,
+                    encode(position_update{
+                        each.number, {{group, known->position, asked_ago}}}));
+    }
+    position_waiters_.erase(waiting);
 }
 
 auto configuration_node::implementation::send_census() -> void
@@ -351,6 +500,33 @@
     return count;
 }
 
+auto configuration_node::implementation::push_servers(time_point now) -> void
+{
+    if (server_updates_.take_due(now)) {
+        push_updates();
+    }
+}
+
+auto configuration_node::implementation::send_renewals(time_point now) -> void
+{
+    const auto known = leader();
+    if (!known || is_leader()) {
+        return;
+    }
+    const auto due = renewals_.take_due(now);
+    if (due.empty()) {
+        return;
+    }
+    const auto to = peer_name{peer_role::control, *known};
+    const auto records = encode(server_announcements{due});
+    const auto is_sent =
+        links_.send(to, message_type::server_changes,
+                    encode(server_changes{compress_text(records)}));
+    if (!is_sent) {
+        links_.send(to, message_type::server_announcements, records);
+    }
+}
+
 auto configuration_node::implementation::push_updates() -> void
 {
     for (auto& [link, to] : proxies_) {
@@ -377,10 +553,13 @@
                    record.role == server_role::primary ? "primary" : "replica")
             .field("state", static_cast<int>(record.state))
             .field("sequence", record.sequence);
-        push_updates();
+        server_updates_.note_change();
+        push_servers(steady_now());
     }
-    if (is_shared) {
+    if (is_shared && result == server_directory::merge_result::changed) {
         share(record);
+    } else if (is_shared && !is_leader()) {
+        renewals_.add(record);
     }
     return true;
 }
@@ -412,7 +591,8 @@
     const auto* const record = directory_.remove(steady_now(), server);
     if (record != nullptr) {
         log_event("server_gone").field("server", server);
-        push_updates();
+        server_updates_.note_change();
+        push_servers(steady_now());
         share(*record);
     }
 }
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -543,4 +543,11 @@
     implementation_->stop();
 }
 
+auto is_address(const std::string& text) -> bool
+{
+    auto error = error_code();
+    static_cast<void>(asio::ip::make_address(text, error));
+    return !error;
+}
+
 } // namespace rhubarbrun::inline v1
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -1,6 +1,8 @@
 #include <rhubarbrun/transport/view_client.hpp>
 
 #include <rhubarbrun/coordination/member_choice.hpp>
+#include <rhubarbrun/protocol/document_delta.hpp>
+#include <rhubarbrun/protocol/text_compression.hpp>
 #include <rhubarbrun/transport/event_log.hpp>
 #include <rhubarbrun/transport/worker_pool.hpp>
 
@@ -15,6 +17,8 @@
 
 /// Answers to older requests than these tell no positions and no age.
 constexpr auto requests_remembered = std::size_t{16};
+/// The same for requests for positions, which are more frequent.
+constexpr auto position_requests_remembered = std::size_t{256};
 
 } // namespace
 
@@ -63,6 +67,25 @@
         links_.stop();
     }
 
+    auto ask_position(const group_id& group) -> bool
+    {
+        const auto link = open_.find(choice_.followed());
+        if (link == open_.end()) {
+            return false;
+        }
+        const auto number = ++last_position_request_;
+        if (!links_.send(link->second, message_type::position_request,
+                         encode(position_request{number, {group}})))
+        {
+            return false;
+        }
+        position_requested_at_[number] = steady_now();
+        if (position_requested_at_.size() > position_requests_remembered) {
+            position_requested_at_.erase(position_requested_at_.begin());
+        }
+        return true;
+    }
+
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>
     {
         const auto covered = choice_.covered();
@@ -77,6 +100,12 @@
 private:
     auto connect(const std::string& member) -> void
     {
+        if (!is_address(member)) {
+            log_event("member_ignored", event_severity::warning)
+                .field("member", member)
+                .field("reason", "not an address");
+            return;
+        }
         links_.connect({peer_role::control, member},
                        {asio::ip::make_address(member), options_.peer_port});
     }
@@ -93,17 +122,35 @@
         if (link == open_.end()) {
             return;
         }
+        subscribe(link->second);
         auto message = view_request{};
         message.number = ++last_request_;
         requested_at_[message.number] = steady_now();
         if (requested_at_.size() > requests_remembered) {
             requested_at_.erase(requested_at_.begin());
         }
-        message.configuration_version = hooks_.configuration_version();
+        message.configuration_version =
+            is_whole_wanted_ ? 0 : hooks_.configuration_version();
         message.report = {options_.address, hooks_.sightings()};
         links_.send(link->second, message_type::view_request, encode(message));
     }
 
+    /// Tells the member what is needed and held, on a new link and if the
+    /// groups changed.
+    auto subscribe(link_id link) -> void
+    {
+        if (!hooks_.subscription) {
+            return;
+        }
+        auto wanted = hooks_.subscription();
+        const auto told = subscribed_.find(link);
+        if (told != subscribed_.end() && told->second == wanted.groups) {
+            return;
+        }
+        links_.send(link, message_type::view_subscription, encode(wanted));
+        subscribed_[link] = std::move(wanted.groups);
+    }
+
     auto log_left(const std::string& member, std::string_view reason) -> void
     {
         const auto view_age = age(steady_now());
@@ -124,6 +171,7 @@
     auto on_link_down(const link_info& link, std::string_view reason) -> void
     {
         const auto& member = link.peer.who.name;
+        subscribed_.erase(link.id);
         const auto found = open_.find(member);
         if (found == open_.end() || found->second != link.id) {
             return;
@@ -143,7 +191,23 @@
                     const std::string& payload) -> void
     {
         const auto& member = link.peer.who.name;
-        if (type != message_type::view_update) {
+        switch (type) {
+        case message_type::position_update:
+            if (const auto update = decode<position_update>(payload)) {
+                tell_positions(*update);
+            }
+            return;
+        case message_type::server_changes:
+            on_server_changes(member, payload);
+            return;
+        case message_type::configuration_delta:
+            if (const auto delta = decode<configuration_delta>(payload)) {
+                on_delta(member, *delta);
+            }
+            return;
+        case message_type::view_update:
+            break;
+        default:
             return;
         }
         auto update = decode<view_update>(payload);
@@ -155,7 +219,9 @@
         if (!update->control_members.empty()) {
             auto members = std::vector<member_location>();
             for (const auto& each : update->control_members) {
-                members.push_back({each.address, each.region});
+                if (is_address(each.address)) {
+                    members.push_back({each.address, each.region});
+                }
             }
             choice_.set_members(std::move(members));
         }
@@ -166,6 +232,9 @@
             covered = asked->second - milliseconds(update->age_ms);
         }
         tell_positions(*update);
+        if (!update->configuration.empty() && hooks_.on_configuration) {
+            take_configuration(member, decompress_text(update->configuration));
+        }
         hooks_.on_update(member, std::move(*update));
         if (is_answer) {
             choice_.on_answer(steady_now(), member, covered);
@@ -174,6 +243,57 @@
         }
     }
 
+    auto on_server_changes(const std::string& member,
+                           const std::string& payload) -> void
+    {
+        const auto changes = decode<server_changes>(payload);
+        auto records =
+            changes
+                ? decode<server_announcements>(decompress_text(changes->packed))
+                : std::nullopt;
+        if (!records) {
+            log_event("server_changes_malformed", event_severity::warning)
+                .field("member", member);
+            return;
+        }
+        auto update = view_update{};
+        update.servers = std::move(records->records);
+        hooks_.on_update(member, std::move(update));
+    }
+
+    auto on_delta(const std::string& member, const configuration_delta& delta)
+        -> void
+    {
+        const auto held = hooks_.configuration_version();
+        if (delta.to <= held) {
+            return;
+        }
+        const auto text = delta.from == held
+                              ? apply_delta(configuration_text_, delta.delta)
+                              : std::nullopt;
+        if (!text) {
+            log_event("configuration_delta_unusable", event_severity::warning)
+                .field("member", member)
+                .field("from", delta.from)
+                .field("to", delta.to)
+                .field("held", held);
+            is_whole_wanted_ = true;
+            return;
+        }
+        take_configuration(member, *text);
+    }
+
+    auto take_configuration(const std::string& member, const std::string& text)
+        -> void
+    {
+        is_whole_wanted_ = false;
+        const auto held = hooks_.configuration_version();
+        hooks_.on_configuration(member, text);
+        if (hooks_.configuration_version() != held) {
+            configuration_text_ = text;
+        }
+    }
+
     auto log_followed() -> void
     {
         if (choice_.followed() != logged_) {
@@ -201,6 +321,21 @@
         }
     }
 
+    /// The request was sent before it arrived, so that this makes nothing
+    /// younger than it is either.
+    auto tell_positions(const position_update& update) -> void
+    {
+        const auto asked = position_requested_at_.find(update.answers);
+        if (asked == position_requested_at_.end() || !hooks_.on_position) {
+            return;
+        }
+        for (const auto& each : update.positions) {
+            hooks_.on_position(each.group,
+                               asked->second - milliseconds(each.asked_ago_ms),
+                               each.position);
+        }
+    }
+
     auto arm_timer() -> void
     {
         const auto wait = choice_.next_tick() - steady_now();
@@ -227,6 +362,14 @@
     std::uint64_t last_request_ = 0;
     /// When the latest requests were sent, by number.
     std::map<std::uint64_t, time_point> requested_at_;
+    std::uint64_t last_position_request_ = 0;
+    std::map<std::uint64_t, time_point> position_requested_at_;
+    /// The groups of interest that each link was told last.
+    std::map<link_id, std::vector<group_id>> subscribed_;
+    /// The configuration that was taken last, to which deltas apply.
+    std::string configuration_text_;
+    /// A delta did not fit, so that the whole configuration is asked for.
+    bool is_whole_wanted_ = false;
     bool is_stopped_ = false;
 };
 
@@ -252,6 +395,11 @@
     implementation_->stop();
 }
 
+auto view_client::ask_position(const group_id& group) -> bool
+{
+    return implementation_->ask_position(group);
+}
+
 auto view_client::is_fresh(time_point now) const -> bool
 {
     return implementation_->is_fresh(now);
--- a/src/transport/worker_pool.cpp
+++ b/src/transport/worker_pool.cpp
@@ -38,11 +38,15 @@
 
 auto worker_pool::run() -> void
 {
-    while (!context_.stopped()) {
+    run_handlers(context_);
+}
+
+auto run_handlers(asio::io_context& context) -> void
+{
+    while (!context.stopped()) {
         try {
-            context_.run();
+            context.run();
         } catch (const std::exception& fault) {
-            // One handler's fault must not end the service of all others.
             log_event("handler_failed", event_severity::error)
                 .field("reason", fault.what());
         }
--- a/tests/coordination/position_watch_test.cpp
+++ b/tests/coordination/position_watch_test.cpp
@@ -41,6 +41,9 @@
     {
         for (const auto end = now + length; now < end;) {
             now += milliseconds(50);
+            if (is_wanted) {
+                watch.want(now, group_id("g"));
+            }
             watch.tick(now, directory);
         }
     }
@@ -53,6 +56,8 @@
     }
 
     time_point now = time_point(std::chrono::seconds(100));
+    /// Whether a proxy that needs the position follows the member.
+    bool is_wanted = true;
     server_directory directory;
     std::vector<std::pair<std::string, time_point>> asked;
     position_watch watch;
@@ -125,4 +130,40 @@
     CHECK(group.asked.back().first == "r");
 }
 
+// Guards against a cost of each member that grows with the number of groups
+// and not with what its proxies read.
+TEST_CASE("position watch: a group that no proxy reads is not queried")
+{
+    auto group = watched_primary();
+    group.is_wanted = false;
+    group.pass(std::chrono::seconds(2));
+    CHECK(group.asked.empty());
+    group.is_wanted = true;
+    group.pass(milliseconds(100));
+    REQUIRE(group.asked.size() == 1);
+    group.answer(group.asked.back().second, 1, 10);
+    group.is_wanted = false;
+    group.pass(std::chrono::seconds(5));
+    const auto asked = group.asked.size();
+    group.pass(std::chrono::seconds(5));
+    CHECK(group.asked.size() == asked);
+}
+
+TEST_CASE("position watch: a read that waits is queried for at once, together "
+          "with others")
+{
+    auto group = watched_primary();
+    group.is_wanted = false;
+    CHECK(group.watch.find(group.now, group_id("g")) == nullptr);
+    for (auto proxy = 0; proxy < 20; ++proxy) {
+        CHECK(group.watch.query_now(group.now, group_id("g"), group.directory));
+    }
+    REQUIRE(group.asked.size() == 1);
+    group.answer(group.now, 1, 10);
+    REQUIRE(group.watch.find(group.now, group_id("g")) != nullptr);
+    CHECK(group.watch.find(group.now, group_id("g"))->asked_at == group.now);
+    CHECK_FALSE(
+        group.watch.query_now(group.now, group_id("other"), group.directory));
+}
+
 } // namespace rhubarbrun_tests
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -206,6 +206,9 @@
     bool may_deny = true;
     /// Whether requested connections stay pending.
     bool is_holding = false;
+    /// Whether control can be asked for positions; the test answers.
+    bool is_control_asked = false;
+    std::vector<std::string> asked_control;
     session_relay relay;
 
 private:
@@ -236,6 +239,12 @@
         hooks.may_deny = [this] {
             return may_deny;
         };
+        hooks.ask_position = [this](const group_id& group) {
+            if (is_control_asked) {
+                asked_control.push_back(group.value());
+            }
+            return is_control_asked;
+        };
         hooks.close = [this](connection_id id) {
             closed_connections.push_back(id);
         };
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -603,4 +603,87 @@
     }
 }
 
+// A control member that started with the servers that it had known before told
+// its proxies of one that had left since.
+TEST_CASE("relay: an outdated record does not bring a server back")
+{
+    auto harness = relay_harness();
+    auto record = server_record{};
+    record.id = target_id("s");
+    record.group = group_id("g");
+    record.address = "127.0.0.1:9";
+    record.zone = zone_id("a");
+    record.started_at = 5;
+    record.sequence = 7;
+    auto other = record;
+    harness.relay.update_server(harness.now, record);
+    record.state = server_availability::gone;
+    record.sequence = 8;
+    harness.relay.update_server(harness.now, record);
+    CHECK_FALSE(harness.relay.pool().has_server_at("127.0.0.1:9"));
+    harness.relay.update_server(harness.now, other);
+    CHECK_FALSE(harness.relay.pool().has_server_at("127.0.0.1:9"));
+    INFO("a later start under the same id counts");
+    other.started_at = 6;
+    other.sequence = 1;
+    harness.relay.update_server(harness.now, other);
+    CHECK(harness.relay.pool().has_server_at("127.0.0.1:9"));
+}
+
+// A single failed attempt was reported for as long as the proxy had nothing to
+// do with the server, so that control went on looking at a primary that was
+// well.
+TEST_CASE("relay: what was seen of a server seconds ago is not reported")
+{
+    auto harness = relay_harness();
+    harness.refusals["p"] = connect_failure::unreachable;
+    const auto id = harness.start("orders");
+    harness.ask(id, relay_step::write, "w");
+    const auto failing = [&] {
+        const auto seen = harness.relay.pool().recent_health(harness.now);
+        return std::count_if(seen.begin(), seen.end(), [](const auto& each) {
+            return each.failing_since.has_value();
+        });
+    };
+    CHECK(failing() == 1);
+    harness.relay.end_session(harness.now, id);
+    harness.pass(std::chrono::seconds(3));
+    CHECK(failing() == 0);
+    CHECK(harness.relay.pool().health().front().failing_since);
+}
+
+// Every position of every group came with every view.
+TEST_CASE("relay: control is asked for positions, and the primary only if "
+          "control is late")
+{
+    auto harness = relay_harness();
+    harness.is_control_asked = true;
+    const auto id = harness.start("stock");
+    CHECK(harness.asked_control == std::vector<std::string>{"g"});
+    CHECK(harness.relay.groups_of_interest(harness.now) ==
+          std::vector{group_id("g")});
+    harness.ask(id, relay_step::read, "1");
+    CHECK(harness.sent.empty());
+    CHECK(harness.asked_control.size() == 1);
+    harness.relay.on_position(harness.now, group_id("g"), harness.now,
+                              {term(1), log_offset(10)});
+    harness.pass(milliseconds(20));
+    REQUIRE(harness.sent.size() == 1);
+    CHECK(harness.sent.front().statement.step == relay_step::read);
+    harness.answer_all();
+
+    harness.pass(std::chrono::seconds(5));
+    harness.ask(id, relay_step::read, "2");
+    CHECK(harness.asked_control.size() == 2);
+    CHECK(harness.sent.empty());
+    harness.pass(milliseconds(150));
+    INFO("control did not answer");
+    REQUIRE_FALSE(harness.sent.empty());
+    CHECK(harness.sent.front().statement.step == relay_step::begin);
+    harness.answer_all();
+    CHECK(harness.replies.at(id).size() == 2);
+    harness.pass(std::chrono::seconds(20));
+    CHECK(harness.relay.groups_of_interest(harness.now).empty());
+}
+
 } // namespace rhubarbrun_tests
--- a/tests/platform/proxy_adapter_test.cpp
+++ b/tests/platform/proxy_adapter_test.cpp
@@ -97,6 +97,20 @@
         return answer;
     }
 
+    /// Sends bytes to a port and closes the connection some time later.
+    auto send_bytes(const std::string& address, std::size_t port,
+                    const std::string& bytes) -> void
+    {
+        auto socket = asio::ip::tcp::socket(context_);
+        auto error = error_code();
+        socket.connect({asio::ip::make_address(address), ports_.at(port)},
+                       error);
+        if (!error) {
+            asio::write(socket, asio::buffer(bytes), error);
+        }
+        context_.run_for(std::chrono::milliseconds(10));
+    }
+
 private:
     static auto seeds() -> std::vector<std::string> { return {"127.0.0.1"}; }
 
@@ -157,4 +171,35 @@
     CHECK(deployment.start_session("none").starts_with("ERROR RETRY"));
 }
 
+// One malformed message must not take the process down, at any port.
+TEST_CASE("proxy adapter and control adapter: bytes of strangers harm nobody")
+{
+    auto deployment = small_deployment();
+    REQUIRE(deployment.configure());
+    const auto messages = std::vector<std::string>{
+        std::string(64, '\0'),
+        std::string("\xff\xff\xff\xff\xff\xff\xff\xff", 8),
+        "STARTUP\r\n",
+        "STARTUP db1 x\r\nQUERY\r\n",
+        "STARTUP db1 x\r\nQUERY a EXECUTE none\r\nQUERY b COMMIT\r\n",
+        "STARTUP db1 x\r\n" + std::string(2'000'000, 'x'),
+        "PUT /api/config HTTP/1.1\r\nContent-Length: 5\r\n\r\n[[[[[",
+        "PUT /api/config HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+        "PUT /api/instances/ HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+        "DELETE /api/instances/%00 HTTP/1.1\r\n\r\n",
+        "GET / HTTP/9.9\r\n" + std::string(40'000, 'h') + "\r\n\r\n",
+        "PUT /api/config HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" +
+            std::string(60'000, '[')};
+    for (const auto& bytes : messages) {
+        for (const auto* const address : {"127.0.0.1", "127.0.0.2"}) {
+            for (auto port = std::size_t{0}; port < 4; ++port) {
+                deployment.send_bytes(address, port, bytes);
+            }
+        }
+    }
+    CHECK(deployment.start_session("db1").starts_with("READY"));
+    CHECK(deployment.start_session("none").starts_with("ERROR NODATABASE"));
+    CHECK(deployment.configure());
+}
+
 } // namespace rhubarbrun_tests
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -198,7 +198,7 @@
     configuration_node* leader = nullptr;
     REQUIRE(group.run_until([&] {
         for (auto* each : members) {
-            leader = each->fencing_token() ? each : leader;
+            leader = each->has_lease() ? each : leader;
         }
         return leader != nullptr;
     }));
@@ -281,7 +281,7 @@
         configuration_node* found = nullptr;
         group.run_until([&] {
             for (auto* each : members) {
-                found = each != other && each->fencing_token() ? each : found;
+                found = each != other && each->has_lease() ? each : found;
             }
             return found != nullptr &&
                    loopback_group::voters(*found) == founders.size();
@@ -305,7 +305,8 @@
     CHECK(submit(*full, 2) == submit_outcome::unknown);
     CHECK(full->storage().is_blocked());
     CHECK_FALSE(full->is_leader());
-    CHECK_FALSE(full->fencing_token());
+    CHECK_FALSE(full->has_lease());
+    CHECK_FALSE(full->next_fencing_token());
     auto* const other = leader_but(full);
     REQUIRE(other != nullptr);
     CHECK(submit(*other, 3) == submit_outcome::accepted);
@@ -319,4 +320,55 @@
     CHECK(full->storage().refusals() >= 1);
 }
 
+// An address that is none came out of a handler as an exception and ended the
+// process.
+TEST_CASE("view client: names that are no addresses are ignored")
+{
+    auto group = loopback_group();
+    auto links = std::unique_ptr<peer_links>();
+    auto answers = 0;
+    links = std::make_unique<peer_links>(
+        group.context, link_key(),
+        peer_identity{{peer_role::control, "127.0.0.1"}, incarnation(1)},
+        peer_link_hooks{
+            [](const link_info&) {},
+            [&](const link_info& link, message_type type,
+                const std::string& payload) {
+                const auto request = decode<view_request>(payload);
+                if (type != message_type::view_request || !request) {
+                    return;
+                }
+                ++answers;
+                auto update = view_update{};
+                update.answers = request->number;
+                update.age_ms = 5000;
+                update.control_members = {{"nowhere", "region"},
+                                          {"", "region"},
+                                          {"127.0.0.1", "region"}};
+                links->send(link.id, message_type::view_update, encode(update));
+                links->send(link.id, message_type::server_changes, "damaged");
+                links->send(link.id, message_type::configuration_delta, "x");
+            },
+            [](const link_info&, std::string_view) {
+            }});
+    links->listen({asio::ip::make_address("127.0.0.1"), group.port()});
+    auto seeds = std::vector<std::string>{"not an address", "127.0.0.1"};
+    auto proxy = view_client(group.context,
+                             {"127.0.0.9",
+                              "region",
+                              group.port(),
+                              [&] { return seeds; },
+                              link_key(),
+                              {}},
+                             {[](const std::string&, const view_update&) {},
+                              [] { return std::vector<sighting_record>(); },
+                              [] {
+                                  return std::uint64_t{0};
+                              }});
+    proxy.start();
+    CHECK(group.run_until([&] { return answers > 2; }));
+    proxy.stop();
+    links->stop();
+}
+
 } // namespace rhubarbrun::test
