transport, platform: a planned stop of control answers what it received; counters

Cause: a control member that was stopped ended 600 ms after SIGTERM whatever it owed, so that a configuration that it had just accepted got no answer; and nobody could see which messages between processes cost what. Change: http_server::drain accepts no more, closes connections that wait, and each of the others after its response; the member ends when nothing is owed. Messages and bytes of links by type, announcements and queries are metrics. Measured: a test that failed before ("a planned stop answers the requests that were received").

--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -124,6 +124,8 @@
     [[nodiscard]] auto configuration_version() const -> std::uint64_t;
     /// Whether and since when the disk has had no room for the log.
     [[nodiscard]] auto storage() const -> const storage_gate&;
+    /// Messages of the links to other processes.
+    [[nodiscard]] auto traffic() const -> const link_traffic&;
     /// State on one line of JSON.
     [[nodiscard]] auto dump() const -> std::string;
 
--- a/include/rhubarbrun/transport/http_server.hpp
+++ b/include/rhubarbrun/transport/http_server.hpp
@@ -51,6 +51,13 @@
     auto listen(const asio::ip::tcp::endpoint& endpoint)
         -> asio::ip::tcp::endpoint;
 
+    /// Begins a planned stop: accepts no further connections, closes those that
+    /// wait for a request, and each of the others after its response.
+    auto drain() -> void;
+
+    /// Whether a request that was received whole has no response yet.
+    [[nodiscard]] auto has_open_requests() const noexcept -> bool;
+
     /// Closes everything; later replies are dropped.
     auto stop() -> void;
 
--- a/include/rhubarbrun/transport/peer_links.hpp
+++ b/include/rhubarbrun/transport/peer_links.hpp
@@ -4,6 +4,7 @@
 #include <rhubarbrun/protocol/link_handshake.hpp>
 #include <rhubarbrun/state/units.hpp>
 #include <rhubarbrun/transport/asio.hpp>
+#include <rhubarbrun/transport/link_traffic.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -122,6 +123,9 @@
 
     [[nodiscard]] auto links() const -> std::vector<link_info>;
 
+    /// What was sent and received since the start, heartbeats apart.
+    [[nodiscard]] auto traffic() const -> const link_traffic&;
+
     /// Closes everything; no hook is called for links closed by this.
     auto stop() -> void;
 
--- a/include/rhubarbrun/transport/view_client.hpp
+++ b/include/rhubarbrun/transport/view_client.hpp
@@ -82,6 +82,9 @@
     /// no value if that is not known.
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>;
 
+    /// Messages of the links to control members.
+    [[nodiscard]] auto traffic() const -> const link_traffic&;
+
     /// Whether the view is young enough to deny that something exists.
     [[nodiscard]] auto is_fresh(time_point now) const -> bool;
 
--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -21,8 +21,6 @@
 using namespace rhubarbrun::platform;
 
 constexpr auto exit_usage = 2;
-/// Time for a control member to answer the calls that it took before SIGTERM.
-constexpr auto control_stop_delay = std::chrono::milliseconds(600);
 /// Pause before a member that found no room on its disk at its start tries
 /// again.
 constexpr auto disk_retry_interval = std::chrono::milliseconds(500);
@@ -109,14 +107,11 @@
         return EXIT_SUCCESS;
     }
     auto& node = *opened;
-    auto last_answers = asio::steady_timer(context);
     signals.async_wait([&](error_code error, int number) {
-        if (error) {
-            return;
+        if (!error) {
+            log_event("stopping").field("signal", number);
+            node.drain([&] { context.stop(); });
         }
-        log_event("stopping").field("signal", number);
-        last_answers.expires_after(control_stop_delay);
-        last_answers.async_wait([&](error_code) { context.stop(); });
     });
     node.start();
     run_handlers(context);
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -601,6 +601,11 @@
     return implementation_->storage();
 }
 
+auto configuration_node::traffic() const -> const link_traffic&
+{
+    return implementation_->traffic();
+}
+
 auto configuration_node::configuration_version() const -> std::uint64_t
 {
     return implementation_->configuration_version();
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -75,6 +75,11 @@
         return member_->is_leader() && !gate_.is_blocked();
     }
 
+    [[nodiscard]] auto traffic() const -> const link_traffic&
+    {
+        return links_.traffic();
+    }
+
     [[nodiscard]] auto storage() const -> const storage_gate& { return gate_; }
 
     [[nodiscard]] auto configuration_version() const -> std::uint64_t
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -134,6 +134,7 @@
         return bound;
     }
 
+    auto drain() -> void;
     auto stop() -> void;
 
     /// Calls the handler for the request, or replies itself.
@@ -163,16 +164,27 @@
     }
 
     auto on_closed() noexcept -> void { --connections_; }
+    auto on_request() noexcept -> void { ++requests_; }
+    auto on_request_ended() noexcept -> void { --requests_; }
 
     [[nodiscard]] auto is_stopped() const noexcept -> bool
     {
         return is_stopped_;
     }
+    [[nodiscard]] auto is_draining() const noexcept -> bool
+    {
+        return is_draining_;
+    }
+    [[nodiscard]] auto has_open_requests() const noexcept -> bool
+    {
+        return requests_ > 0;
+    }
 
 private:
     class session;
 
     auto accept() -> void;
+    auto close_acceptor() -> void;
 
     static auto call(const http_handler& handler, const http_request& request,
                      const http_reply& reply) -> void
@@ -193,6 +205,9 @@
     asio::steady_timer accept_timer_;
     std::vector<route_entry> routes_;
     std::atomic<std::size_t> connections_ = 0;
+    /// Requests that were received whole and have no response yet.
+    std::atomic<std::size_t> requests_ = 0;
+    std::atomic<bool> is_draining_ = false;
     std::atomic<bool> is_stopped_ = false;
     std::mutex sessions_mutex_;
     std::vector<std::weak_ptr<session>> sessions_;
@@ -211,7 +226,11 @@
     }
     session(const session&) = delete;
     auto operator=(const session&) -> session& = delete;
-    ~session() { server_->on_closed(); }
+    ~session()
+    {
+        end_request();
+        server_->on_closed();
+    }
 
     auto read() -> void
     {
@@ -235,7 +254,24 @@
         });
     }
 
+    /// Closes the connection unless it owes a response.
+    auto close_if_idle() -> void
+    {
+        asio::post(stream_.get_executor(), [self = shared_from_this()] {
+            if (!self->has_request_) {
+                self->stream_.close();
+            }
+        });
+    }
+
 private:
+    auto end_request() -> void
+    {
+        if (std::exchange(has_request_, false)) {
+            server_->on_request_ended();
+        }
+    }
+
     auto on_read(error_code error) -> void
     {
         if (error == http::error::body_limit) {
@@ -252,6 +288,8 @@
             return;
         }
         is_last_ = !parser_->get().keep_alive();
+        has_request_ = true;
+        server_->on_request();
         const auto number = ++request_number_;
         stream_.expires_never();
         timer_.expires_after(server_->limits().handler);
@@ -296,7 +334,7 @@
             response_->set(name, value);
         }
         response_->body() = std::move(response.body);
-        response_->keep_alive(!is_last_);
+        response_->keep_alive(!is_last_ && !server_->is_draining());
         response_->prepare_payload();
         stream_.expires_after(server_->limits().transfer);
         http::async_write(stream_, *response_,
@@ -308,10 +346,11 @@
 
     auto on_written(error_code error) -> void
     {
+        end_request();
         if (error || server_->is_stopped()) {
             return;
         }
-        if (is_last_) {
+        if (is_last_ || server_->is_draining()) {
             auto ignored = error_code();
             stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
             return;
@@ -328,6 +367,8 @@
     std::uint64_t request_number_ = 0;
     std::uint64_t answered_ = 0;
     bool is_last_ = false;
+    /// A request was received whole and its response is not sent yet.
+    bool has_request_ = false;
 };
 
 auto http_server::implementation::accept() -> void
@@ -335,7 +376,9 @@
     acceptor_.async_accept(
         asio::make_strand(context_),
         [self = shared_from_this()](error_code error, tcp::socket socket) {
-            if (self->is_stopped_ || error == asio::error::operation_aborted) {
+            if (self->is_stopped_ || self->is_draining_ ||
+                error == asio::error::operation_aborted)
+            {
                 return;
             }
             if (error) {
@@ -353,9 +396,12 @@
                     std::make_shared<session>(std::move(socket), self);
                 {
                     const auto lock = std::lock_guard(self->sessions_mutex_);
-                    std::erase_if(self->sessions_, [](const auto& weak) {
-                        return weak.expired();
-                    });
+                    // Rarely, as it looks at every connection.
+                    if (self->sessions_.size() > 2 * self->connections_) {
+                        std::erase_if(self->sessions_, [](const auto& weak) {
+                            return weak.expired();
+                        });
+                    }
                     self->sessions_.push_back(added);
                 }
                 added->read();
@@ -364,16 +410,35 @@
         });
 }
 
-auto http_server::implementation::stop() -> void
+auto http_server::implementation::close_acceptor() -> void
 {
-    if (is_stopped_.exchange(true)) {
-        return;
-    }
     asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
         auto ignored = error_code();
         self->acceptor_.close(ignored);
         self->accept_timer_.cancel(ignored);
     });
+}
+
+auto http_server::implementation::drain() -> void
+{
+    if (is_draining_.exchange(true)) {
+        return;
+    }
+    close_acceptor();
+    const auto lock = std::lock_guard(sessions_mutex_);
+    for (const auto& weak : sessions_) {
+        if (const auto open = weak.lock()) {
+            open->close_if_idle();
+        }
+    }
+}
+
+auto http_server::implementation::stop() -> void
+{
+    if (is_stopped_.exchange(true)) {
+        return;
+    }
+    close_acceptor();
     const auto lock = std::lock_guard(sessions_mutex_);
     for (const auto& weak : sessions_) {
         if (const auto open = weak.lock()) {
@@ -403,6 +468,16 @@
     return implementation_->listen(endpoint);
 }
 
+auto http_server::drain() -> void
+{
+    implementation_->drain();
+}
+
+auto http_server::has_open_requests() const noexcept -> bool
+{
+    return implementation_->has_open_requests();
+}
+
 auto http_server::stop() -> void
 {
     implementation_->stop();
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -136,6 +136,18 @@
         return usable == ids.rend() ? std::nullopt : std::optional(*usable);
     }
 
+    auto send(const connection_ptr& connection, message_type type,
+              std::string_view payload) -> bool
+    {
+        if (!connection || !connection->send(type, payload)) {
+            return false;
+        }
+        traffic.note_sent(type, payload.size());
+        return true;
+    }
+
+    link_traffic traffic;
+
     auto links() const -> std::vector<link_info>
     {
         const auto lock = std::lock_guard(mutex_);
@@ -261,6 +273,7 @@
         events.on_message = [owner](detail::peer_connection& connection,
                                     message_type type, std::string payload) {
             if (const auto self = owner.lock()) {
+                self->traffic.note_received(type, payload.size());
                 self->guard([&] {
                     self->hooks_.on_message(connection.info(), type,
                                             std::move(payload));
@@ -510,15 +523,13 @@
 auto peer_links::send(link_id link, message_type type, std::string_view payload)
     -> bool
 {
-    const auto connection = implementation_->find(link);
-    return connection && connection->send(type, payload);
+    return implementation_->send(implementation_->find(link), type, payload);
 }
 
 auto peer_links::send(const peer_name& peer, message_type type,
                       std::string_view payload) -> bool
 {
-    const auto connection = implementation_->find(peer);
-    return connection && connection->send(type, payload);
+    return implementation_->send(implementation_->find(peer), type, payload);
 }
 
 auto peer_links::use(const peer_name& peer) -> std::optional<link_id>
@@ -538,6 +549,11 @@
     return implementation_->links();
 }
 
+auto peer_links::traffic() const -> const link_traffic&
+{
+    return implementation_->traffic;
+}
+
 auto peer_links::stop() -> void
 {
     implementation_->stop();
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -86,6 +86,11 @@
         return true;
     }
 
+    [[nodiscard]] auto traffic() const -> const link_traffic&
+    {
+        return links_.traffic();
+    }
+
     [[nodiscard]] auto age(time_point now) const -> std::optional<duration>
     {
         const auto covered = choice_.covered();
@@ -395,6 +400,11 @@
     implementation_->stop();
 }
 
+auto view_client::traffic() const -> const link_traffic&
+{
+    return implementation_->traffic();
+}
+
 auto view_client::ask_position(const group_id& group) -> bool
 {
     return implementation_->ask_position(group);
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -7,8 +7,10 @@
 
 #include <doctest/doctest.h>
 
+#include <future>
 #include <random>
 #include <stdexcept>
+#include <thread>
 
 using namespace rhubarbrun;
 using namespace rhubarbrun::test;
@@ -105,6 +107,47 @@
     CHECK(served.get("/" + std::string(2000, 'x')).status == 431);
 }
 
+// A control member that was stopped cut calls that it had just accepted.
+TEST_CASE("a planned stop answers the requests that were received")
+{
+    auto pool = worker_pool(2);
+    auto server = http_server(pool.context());
+    auto held = std::promise<http_reply>();
+    server.route("GET", "/v1/slow",
+                 [&](const http_request&, const http_reply& reply) {
+                     held.set_value(reply);
+                 });
+    const auto endpoint = server.listen(any_port());
+    auto idle_context = asio::io_context();
+    auto idle = asio::ip::tcp::socket(idle_context);
+    idle.connect(endpoint);
+    auto request = http_request{};
+    request.method = "GET";
+    request.path = "/v1/slow";
+    auto answer = std::async(std::launch::async, [&] {
+        return http_send_and_wait(endpoint, request);
+    });
+    const auto reply = held.get_future().get();
+    CHECK(server.has_open_requests());
+    server.drain();
+    INFO("a connection without a request is closed");
+    auto byte = char{};
+    auto error = error_code();
+    idle.read_some(asio::buffer(&byte, 1), error);
+    CHECK(error);
+    CHECK_FALSE(http_send_and_wait(endpoint, request).response);
+    CHECK(server.has_open_requests());
+    reply(http_success("whole"));
+    const auto result = answer.get();
+    REQUIRE(result.response);
+    CHECK(result.response->body == "whole");
+    while (server.has_open_requests()) {
+        std::this_thread::yield();
+    }
+    server.stop();
+    pool.stop();
+}
+
 TEST_CASE("the client tells whether a request may have been sent")
 {
     auto endpoint = asio::ip::tcp::endpoint();
