coordination: a leader that stood still steps down before anything else

Cause: a leader that was suspended, and on waking first handled answers that had waited in its sockets, remained leader by name: it had no lease, and so gave no order, but took the members whose answers had not waited for silent, which with a sixth voter lets it propose to remove one that is well. Change: a leader whose timers were not looked at for longer than the longest election timeout becomes a follower.

--- a/src/coordination/consensus_core.cpp
+++ b/src/coordination/consensus_core.cpp
@@ -45,6 +45,7 @@
       saved_state_(stored.state),
       log_(std::move(stored)),
       now_(now),
+      ticked_at_(now),
       leader_contact_(now),
       next_join_(now)
 {
@@ -61,6 +62,13 @@
 auto consensus_core::tick(time_point now) -> void
 {
     now_ = now;
+    const auto pause = now - std::exchange(ticked_at_, now);
+    if (is_leader() && pause > options_.max_election_timeout) {
+        // This process stood still, and the others may have elected. What they
+        // sent before says nothing about who is silent now.
+        become_follower(now, state_.current, std::nullopt);
+        return;
+    }
     if (is_leader()) {
         tick_leader(now);
         return;
--- a/src/coordination/consensus_core.hpp
+++ b/src/coordination/consensus_core.hpp
@@ -185,6 +185,8 @@
     std::optional<member_identity> leader_;
     /// Latest time passed in.
     time_point now_;
+    /// When timers were last looked at.
+    time_point ticked_at_;
     time_point election_deadline_;
     /// Last message from a leader. A restart counts as one, because this member
     /// may have answered a heartbeat right before.
--- a/src/coordination/consensus_election.cpp
+++ b/src/coordination/consensus_election.cpp
@@ -73,7 +73,7 @@
 {
     role_ = consensus_role::leader;
     leader_ = self_;
-    leading_since_ = now;
+    leading_since_ = ticked_at_ = now;
     granted_.clear();
     progress_.clear();
     rounds_.clear();
--- a/tests/coordination/consensus_lease_test.cpp
+++ b/tests/coordination/consensus_lease_test.cpp
@@ -108,6 +108,31 @@
     CHECK_FALSE(leader.member().has_leader_lease(sent + 495ms));
 }
 
+// A leader that was suspended took itself for the leader when it woke, and both
+// it and its successor gave orders.
+TEST_CASE("a lease does not survive a suspension, nor do answers that waited")
+{
+    auto leader = hand_driven_leader{};
+    leader.now += 100ms;
+    leader.member().tick(leader.now);
+    leader.drain();
+    const auto round = leader.round;
+    leader.receive(heartbeat_reply{round}, 2);
+    REQUIRE(leader.member().has_leader_lease(leader.now));
+    REQUIRE(std::holds_alternative<read_ticket>(
+        leader.member().read_index(leader.now)));
+    // Nothing ran meanwhile, not even a timer.
+    leader.now += 3s;
+    CHECK_FALSE(leader.member().has_leader_lease(leader.now));
+    leader.receive(heartbeat_reply{round}, 2);
+    CHECK_FALSE(leader.member().has_leader_lease(leader.now));
+    CHECK(leader.confirmed == 0);
+    leader.member().tick(leader.now);
+    leader.drain();
+    CHECK_FALSE(leader.member().is_leader());
+    CHECK(leader.confirmed == 0);
+}
+
 TEST_CASE(
     "an answer to an earlier heartbeat neither confirms a read nor a lease")
 {
