--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -92,7 +92,7 @@
     return is_ending ? nullptr : std::move(opened);
 }
 
-auto run_control(node_settings settings, seed_reader seeds) -> int
+auto run_control(const node_settings& settings, const seed_reader& seeds) -> int
 {
     auto context = asio::io_context(1);
     auto code = EXIT_SUCCESS;
@@ -137,7 +137,7 @@
         .field("first_start", settings.is_first_start);
     const auto code = role == "proxy"
                           ? run_proxy(std::move(settings), std::move(seeds))
-                          : run_control(std::move(settings), std::move(seeds));
+                          : run_control(settings, seeds);
     log_event("process_stopped").field("exit_code", code);
     return code;
 }
