transport: an answer's age counts only with the configuration that goes with it

Cause: found on reading the change. A delta that does not fit is followed by an answer with an age, which made the view fresh although the newest configuration was missing, for half a second until the whole came. Change: the age counts once the proxy holds the version that the answer names. A configuration with little in common with the last is sent whole. Tests: a member that sends a delta for another text, and the whole after it.

--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -405,8 +405,9 @@
         delta = encode(configuration_delta{
             from, newest, make_delta(base->second, target->second)});
     }
-    links_.send(link, message_type::configuration_delta, delta);
-    return true;
+    // A configuration with little in common is sent whole, compressed.
+    return delta.size() < history_.newest().packed.size() &&
+           links_.send(link, message_type::configuration_delta, delta);
 }
 
 auto configuration_node::implementation::positions_for(time_point now,
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -232,14 +232,18 @@
         }
         const auto asked = requested_at_.find(update->answers);
         const auto is_answer = asked != requested_at_.end();
-        auto covered = std::optional<time_point>();
-        if (is_answer && update->age_ms >= 0) {
-            covered = asked->second - milliseconds(update->age_ms);
-        }
         tell_positions(*update);
         if (!update->configuration.empty() && hooks_.on_configuration) {
             take_configuration(member, decompress_text(update->configuration));
         }
+        // A view without the configuration that goes with it is not fresh.
+        const auto is_whole =
+            !hooks_.on_configuration ||
+            hooks_.configuration_version() >= update->configuration_version;
+        auto covered = std::optional<time_point>();
+        if (is_answer && update->age_ms >= 0 && is_whole) {
+            covered = asked->second - milliseconds(update->age_ms);
+        }
         hooks_.on_update(member, std::move(*update));
         if (is_answer) {
             choice_.on_answer(steady_now(), member, covered);
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -1,3 +1,6 @@
+#include <rhubarbrun/protocol/document_delta.hpp>
+#include <rhubarbrun/protocol/text_compression.hpp>
+#include <rhubarbrun/protocol/view_messages.hpp>
 #include <rhubarbrun/transport/configuration_node.hpp>
 #include <rhubarbrun/transport/json.hpp>
 #include <rhubarbrun/transport/view_client.hpp>
@@ -371,4 +374,72 @@
     links->stop();
 }
 
+// The age that comes with a delta that cannot be used must not make the view
+// fresh: the configuration that goes with it is missing.
+TEST_CASE(
+    "view client: a delta that does not fit leaves the view old until the "
+    "whole configuration comes")
+{
+    auto group = loopback_group();
+    auto links = std::unique_ptr<peer_links>();
+    auto is_whole_sent = false;
+    auto wanted = std::vector<std::uint64_t>();
+    links = std::make_unique<peer_links>(
+        group.context, link_key(),
+        peer_identity{{peer_role::control, "127.0.0.1"}, incarnation(1)},
+        peer_link_hooks{
+            [](const link_info&) {},
+            [&](const link_info& link, message_type type,
+                const std::string& payload) {
+                const auto request = decode<view_request>(payload);
+                if (type != message_type::view_request || !request) {
+                    return;
+                }
+                wanted.push_back(request->configuration_version);
+                auto update = view_update{};
+                update.answers = request->number;
+                update.age_ms = 1;
+                update.configuration_version = 9;
+                update.control_members = {{"127.0.0.1", "region"}};
+                if (is_whole_sent) {
+                    update.configuration = compress_text("nine");
+                } else {
+                    links->send(link.id, message_type::configuration_delta,
+                                encode(configuration_delta{
+                                    7, 9, make_delta("seven", "nine")}));
+                }
+                links->send(link.id, message_type::view_update, encode(update));
+            },
+            [](const link_info&, std::string_view) {
+            }});
+    links->listen({asio::ip::make_address("127.0.0.1"), group.port()});
+    auto held = std::uint64_t{7};
+    auto proxy =
+        view_client(group.context,
+                    {"127.0.0.9",
+                     "region",
+                     group.port(),
+                     [] { return std::vector<std::string>{"127.0.0.1"}; },
+                     link_key(),
+                     {}},
+                    {[](const std::string&, const view_update&) {},
+                     [] { return std::vector<sighting_record>(); },
+                     [&] { return held; },
+                     {},
+                     {},
+                     [&](const std::string&, const std::string& text) {
+                         held = text == "nine" ? 9 : held;
+                     }});
+    proxy.start();
+    REQUIRE(group.run_until([&] { return wanted.size() > 2; }));
+    CHECK_FALSE(proxy.is_fresh(steady_now()));
+    CHECK(wanted.front() == 7);
+    CHECK(wanted.back() == 0);
+    is_whole_sent = true;
+    CHECK(group.run_until([&] { return held == 9; }));
+    CHECK(group.run_until([&] { return proxy.is_fresh(steady_now()); }));
+    proxy.stop();
+    links->stop();
+}
+
 } // namespace rhubarbrun::test
