tests: a view client whose first search finds no address

Cause: the test did not reach the name that is no address, as a planted fault showed: the other seed was tried first. Change: the first search finds nothing else. Measured: fails with the check of addresses taken out, passes with it.

--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -355,19 +355,20 @@
             [](const link_info&, std::string_view) {
             }});
     links->listen({asio::ip::make_address("127.0.0.1"), group.port()});
-    auto seeds = std::vector<std::string>{"not an address", "127.0.0.1"};
-    auto proxy = view_client(group.context,
-                             {"127.0.0.9",
-                              "region",
-                              group.port(),
-                              [&] { return seeds; },
-                              link_key(),
-                              {}},
-                             {[](const std::string&, const view_update&) {},
-                              [] { return std::vector<sighting_record>(); },
-                              [] {
-                                  return std::uint64_t{0};
-                              }});
+    // The first search finds nothing else.
+    auto searches = 0;
+    const auto seeds = [&] {
+        return std::vector<std::string>{++searches == 1 ? "not an address"
+                                                        : "127.0.0.1"};
+    };
+    auto proxy = view_client(
+        group.context,
+        {"127.0.0.9", "region", group.port(), seeds, link_key(), {}},
+        {[](const std::string&, const view_update&) {},
+         [] { return std::vector<sighting_record>(); },
+         [] {
+             return std::uint64_t{0};
+         }});
     proxy.start();
     CHECK(group.run_until([&] { return answers > 2; }));
     proxy.stop();
