soak: full disks; programs: a file-size limit is a full disk

Cause: the soak had no full disk, so that nothing showed with processes that a member outlives one. Change: one control member after the other has no room for 0.3 to 2.8 s, by a limit of file sizes on the process, drawn apart from the other faults, so that their schedule stays. The program ignores SIGXFSZ, whose default ends it; the write is then refused with EFBIG.

--- a/programs/rhubarbrun-platform.cpp
+++ b/programs/rhubarbrun-platform.cpp
@@ -148,7 +148,10 @@
 {
     // Settings are read below; until changes are watched, a signal that they
     // changed must not end the process, which is what it does by default.
-    if (std::signal(SIGHUP, SIG_IGN) == SIG_ERR) {
+    // A write beyond a limit of file sizes is refused like one to a full disk.
+    if (std::signal(SIGHUP, SIG_IGN) == SIG_ERR ||
+        std::signal(SIGXFSZ, SIG_IGN) == SIG_ERR)
+    {
         return EXIT_FAILURE;
     }
     const auto role = std::string_view(argument_count == 2 ? arguments[1] : "");
--- a/tests/soak/managed_process.cpp
+++ b/tests/soak/managed_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -72,6 +73,14 @@
     }
 }
 
+auto managed_process::set_disk_full(bool is_full) -> void
+{
+    if (process_ > 0) {
+        auto limit = rlimit{is_full ? 0 : RLIM_INFINITY, RLIM_INFINITY};
+        prlimit(process_, RLIMIT_FSIZE, &limit, nullptr);
+    }
+}
+
 auto managed_process::poll_end() -> std::optional<int>
 {
     auto status = 0;
--- a/tests/soak/managed_process.hpp
+++ b/tests/soak/managed_process.hpp
@@ -25,6 +25,8 @@
     /// @throws std::system_error if the program cannot be started.
     auto start() -> void;
     auto signal(int number) -> void;
+    /// While its disk is full, every write of the process to a file is refused.
+    auto set_disk_full(bool is_full) -> void;
     /// Exit status once the process has ended, as `waitpid` tells it.
     auto poll_end() -> std::optional<int>;
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -48,6 +48,7 @@
     : options_(std::move(options)),
       random_(options_.seed),
       series_random_(options_.seed + 1),
+      disk_random_(options_.seed + 2),
       ledger_("seed=" + std::to_string(options_.seed))
 {
     std::filesystem::remove_all(options_.directory);
@@ -170,6 +171,7 @@
     co_await wait_for_service(recovery_limit, "start");
     co_await drain_one_proxy();
     asio::co_spawn(context_, run_series(), asio::detached);
+    asio::co_spawn(context_, run_full_disks(), asio::detached);
     for (const auto end = steady_now() + options_.faults; steady_now() < end;) {
         begin_fault();
         co_await wait(draw_time(200, 1500));
@@ -422,6 +424,28 @@
     }
 }
 
+auto soak_run::run_full_disks() -> asio::awaitable<void>
+{
+    while (!are_faults_over_) {
+        co_await wait(milliseconds(500 + disk_random_() % 3000));
+        auto& node = cluster_->nodes().at(disk_random_() % options_.controls);
+        const auto length = milliseconds(300 + disk_random_() % 2500);
+        // A member without room counts like one that lost its disk: it lacks
+        // what the others hold.
+        const auto may_begin =
+            node.process->is_running() && !node.is_ending &&
+            steady_now() - last_control_loss_ > catch_up_time;
+        if (are_faults_over_ || !may_begin) {
+            continue;
+        }
+        ledger_.note("fault=disk_full node=" + node.name);
+        last_control_loss_ = steady_now() + length;
+        node.process->set_disk_full(true);
+        co_await wait(length);
+        node.process->set_disk_full(false);
+    }
+}
+
 auto soak_run::signal_in_series(soak_node& node) -> asio::awaitable<void>
 {
     ledger_.note("series of signals node=" + node.name);
@@ -478,6 +502,7 @@
             node.relay->set(relay_fault::none, false);
         }
         cluster_->resume(node);
+        node.process->set_disk_full(false);
         if (!node.process->is_running()) {
             cluster_->start(node);
         }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -58,6 +58,8 @@
     /// Sends series of signals to nodes, which overlap with each other and with
     /// the other faults, and lets changes of the configuration come in series.
     auto run_series() -> asio::awaitable<void>;
+    /// Fills the disk of one control member after the other.
+    auto run_full_disks() -> asio::awaitable<void>;
     auto signal_in_series(soak_node& node) -> asio::awaitable<void>;
     auto restart_later(soak_node& node, duration length) -> void;
     auto later(duration length, std::function<void()> then) -> void;
@@ -71,6 +73,7 @@
     std::mt19937_64 random_;
     /// Its own, so that series leave the other faults of a seed as they are.
     std::mt19937_64 series_random_;
+    std::mt19937_64 disk_random_;
     asio::io_context context_{1};
     soak_ledger ledger_;
     service_counts counts_;
