--- a/tests/coordination/consensus_test.cpp
+++ b/tests/coordination/consensus_test.cpp
@@ -410,3 +410,62 @@
     CHECK(network.leader() != leader);
     check_no_violation(network);
 }
+
+TEST_CASE("a learner votes only once it has the whole log")
+{
+    auto network = consensus_network({.members = 3});
+    for (auto index = 0; index < 40; ++index) {
+        REQUIRE(network.commit(std::to_string(index)));
+    }
+    const auto joining = (network.leader() + 1) % 3;
+    network.wipe(joining);
+    const auto learner = network.status(joining).self;
+    network.drop_if([&](const consensus_message& message) {
+        return message.to == learner &&
+               (std::holds_alternative<append_request>(message.body) ||
+                std::holds_alternative<snapshot_chunk>(message.body));
+    });
+    const auto is_learning = [&] {
+        const auto leader = network.leader();
+        if (leader == network.size()) {
+            return false;
+        }
+        const auto configuration = network.status(leader).configuration;
+        return configuration.find(learner) != nullptr &&
+               !configuration.is_voter(learner);
+    };
+    REQUIRE(network.run_until(is_learning));
+    network.run(5s);
+    CHECK(is_learning());
+    CHECK(network.applied(joining) == 0);
+    network.drop_if(nullptr);
+    CHECK(network.run_until([&] { return network.is_whole(); }));
+    CHECK(network.applied(joining) == network.committed_count());
+    CHECK(network.violations().empty());
+}
+
+TEST_CASE("a learner that is lost while it learns is replaced")
+{
+    auto network = consensus_network({.members = 3});
+    REQUIRE(network.commit("before"));
+    const auto joining = (network.leader() + 1) % 3;
+    network.wipe(joining);
+    const auto lost = network.status(joining).self;
+    network.drop_if([&](const consensus_message& message) {
+        return message.to == lost &&
+               std::holds_alternative<append_request>(message.body);
+    });
+    REQUIRE(network.run_until([&] {
+        const auto leader = network.leader();
+        return leader != network.size() &&
+               network.status(leader).configuration.find(lost) != nullptr;
+    }));
+    network.wipe(joining);
+    network.drop_if(nullptr);
+    CHECK(network.run_until([&] { return network.is_whole(); }));
+    const auto configuration = network.status(network.leader()).configuration;
+    CHECK(configuration.find(lost) == nullptr);
+    CHECK(configuration.voter_count() == 3);
+    CHECK(network.commit("after"));
+    CHECK(network.violations().empty());
+}
