--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -124,6 +124,14 @@
         time_point received_at;
     };
 
+    /// A message with the changes of servers between two revisions.
+    struct packed_changes
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        std::string message;
+    };
+
     [[nodiscard]] auto voters_needed() const -> std::size_t
     {
         return 2 * options_.tolerated_losses + 1;
@@ -220,14 +228,7 @@
     position_watch positions_;
     std::map<group_id, std::vector<position_waiter>> position_waiters_;
     update_pacing server_updates_;
-    /// The changes that were sent last, which most subscribers lack alike: the
-    /// revisions between which they lie, and the message.
-    struct packed_changes
-    {
-        std::uint64_t from = 0;
-        std::uint64_t to = 0;
-        std::string message;
-    };
+    /// Sent last; most subscribers lack the same.
     packed_changes last_changes_;
     /// Configurations that were in force lately, as texts, by version.
     std::map<std::uint64_t, std::string> documents_;
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -142,11 +142,14 @@
         if (!connection || !connection->send(type, payload)) {
             return false;
         }
-        traffic.note_sent(type, payload.size());
+        traffic_.note_sent(type, payload.size());
         return true;
     }
 
-    link_traffic traffic;
+    [[nodiscard]] auto traffic() const -> const link_traffic&
+    {
+        return traffic_;
+    }
 
     auto links() const -> std::vector<link_info>
     {
@@ -273,7 +276,7 @@
         events.on_message = [owner](detail::peer_connection& connection,
                                     message_type type, std::string payload) {
             if (const auto self = owner.lock()) {
-                self->traffic.note_received(type, payload.size());
+                self->traffic_.note_received(type, payload.size());
                 self->guard([&] {
                     self->hooks_.on_message(connection.info(), type,
                                             std::move(payload));
@@ -474,6 +477,7 @@
     peer_identity self_;
     peer_link_hooks hooks_;
     peer_link_limits limits_;
+    link_traffic traffic_;
     tcp::acceptor acceptor_;
     asio::steady_timer accept_timer_;
 
@@ -551,7 +555,7 @@
 
 auto peer_links::traffic() const -> const link_traffic&
 {
-    return implementation_->traffic;
+    return implementation_->traffic();
 }
 
 auto peer_links::stop() -> void
