--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -195,4 +195,19 @@
     }
 }
 
+// Found by the test above under UBSan: the time overflowed.
+TEST_CASE("malformed input: settings that cannot be counted are refused")
+{
+    const auto text =
+        std::string("nodeName = \"a\"\nip = \"10.1.0.8\"\nzone = \"a\"\n"
+                    "internalPorts = [7440, 7455]\nseeds = []\n");
+    CHECK_NOTHROW(parse_node_settings(text));
+    for (const auto* const lines :
+         {"[bounds]\ngraceS = 9223372036854775807\n", "[bounds]\ngraceS = -1\n",
+          "[faultTolerance]\nmachines = -1\n"})
+    {
+        CHECK_THROWS_AS(parse_node_settings(text + lines), node_settings_error);
+    }
+}
+
 } // namespace rhubarbrun_tests
