--- a/include/rhubarbrun/coordination/update_pacing.hpp
+++ b/include/rhubarbrun/coordination/update_pacing.hpp
@@ -5,8 +5,8 @@
 
 namespace rhubarbrun::inline v1 {
 
-/// When the subscribers of a view are told of changes. The first change is told
-/// at once; those that follow shortly after are told together, so that a burst
+/// When changes of a view are sent to its subscribers. The first change is sent
+/// at once; those that follow shortly after are sent together, so that a burst
 /// of them, such as the announcements at the start of a deployment, costs a
 /// message for each subscriber and interval, not for each subscriber and
 /// change.
@@ -16,13 +16,13 @@
     /// Notes that something changed.
     auto note_change() noexcept -> void { is_changed_ = true; }
 
-    /// Whether the subscribers are to be told now; the changes noted so far
-    /// count as told then.
+    /// Whether changes are to be sent now; those noted so far count as sent
+    /// then.
     [[nodiscard]] auto take_due(time_point now) noexcept -> bool;
 
 private:
     bool is_changed_ = false;
-    time_point told_at_;
+    time_point sent_at_;
 };
 
 } // namespace rhubarbrun::inline v1
--- a/src/coordination/update_pacing.cpp
+++ b/src/coordination/update_pacing.cpp
@@ -11,11 +11,11 @@
 
 auto update_pacing::take_due(time_point now) noexcept -> bool
 {
-    if (!is_changed_ || now - told_at_ < update_interval) {
+    if (!is_changed_ || now - sent_at_ < update_interval) {
         return false;
     }
     is_changed_ = false;
-    told_at_ = now;
+    sent_at_ = now;
     return true;
 }
 
