coordination: a statement sent late in its time does not make its server fail

Cause: a statement's time begins with its arrival. Only answers to reads counted as signs of life. Change: a server fails if it has been silent for 500 ms since the statement was sent; every answer is a sign of life. Tests: two that failed before, one that a silent server still fails.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -137,10 +137,15 @@
     auto on_connected(time_point now, connection_id id) -> void;
     auto on_connect_failed(time_point now, connection_id id,
                            connect_failure reason) -> void;
-    /// Handles a reply that took `latency`.
+    /// The server replied, whatever it said.
+    auto on_heard(time_point now, connection_id id) -> void;
+    /// Handles a read that took `latency`.
     auto on_answer(time_point now, connection_id id, duration latency) -> void;
-    /// Handles a statement that got no reply in time.
-    auto on_timeout(time_point now, connection_id id) -> void;
+    /// Handles a statement, sent at `sent_at`, whose time is over. The server
+    /// counts as failing only if it has been silent for `silence_limit` since
+    /// then: a statement may have been sent just before its time was over.
+    auto on_timeout(time_point now, connection_id id, time_point sent_at)
+        -> void;
     /// The server refuses statements that need the primary.
     auto on_not_primary(const target_id& id) -> void;
     /// The server proved to be the primary.
@@ -176,6 +181,8 @@
 
 private:
     static constexpr auto max_window = std::size_t{1000};
+    /// A server with a full queue replies within this time.
+    static constexpr auto silence_limit = milliseconds(500);
 
     struct server
     {
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -256,35 +256,45 @@
     each.avoid_until = now + pause;
 }
 
-auto server_pool::on_answer(time_point now, connection_id id, duration latency)
-    -> void
+auto server_pool::on_heard(time_point now, connection_id id) -> void
 {
     const auto found = connections_.find(id);
     if (found == connections_.end()) {
         return;
     }
     auto& each = servers_.at(found->second.server);
-    const auto sample = static_cast<double>(latency.count());
-    each.latency_us += latency_sample_weight * (sample - each.latency_us);
-    each.sampled_at = now;
     each.failures = 0;
-    each.lagging_refusals = 0;
     if (found->second.detour.empty()) {
         each.answered_at = now;
         each.failing_since.reset();
     }
 }
 
-auto server_pool::on_timeout(time_point now, connection_id id) -> void
+auto server_pool::on_answer(time_point now, connection_id id, duration latency)
+    -> void
 {
     const auto found = connections_.find(id);
     if (found == connections_.end()) {
         return;
     }
     auto& each = servers_.at(found->second.server);
-    const auto has_answered_lately =
-        each.answered_at && *each.answered_at > found->second.used_at;
-    if (!has_answered_lately || !found->second.detour.empty()) {
+    const auto sample = static_cast<double>(latency.count());
+    each.latency_us += latency_sample_weight * (sample - each.latency_us);
+    each.sampled_at = now;
+    each.lagging_refusals = 0;
+}
+
+auto server_pool::on_timeout(time_point now, connection_id id,
+                             time_point sent_at) -> void
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || now - sent_at < silence_limit) {
+        return;
+    }
+    auto& each = servers_.at(found->second.server);
+    const auto has_answered_since =
+        each.answered_at && *each.answered_at > sent_at;
+    if (!has_answered_since || !found->second.detour.empty()) {
         fail(now, each, std::string(found->second.detour));
     }
 }
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -81,6 +81,7 @@
         recycle_connection(now, id);
         return;
     }
+    pool_.on_heard(now, id);
     const auto asked = target.expected.front();
     target.expected.pop_front();
     target.status = reply.status;
@@ -455,7 +456,10 @@
     const auto is_commit = current.statement.step == relay_step::commit;
     const auto is_kept = is_commit && caller.open->has_written;
     if (current.connection) {
-        pool_.on_timeout(now, *current.connection);
+        const auto& expected = connections_.at(*current.connection).expected;
+        if (!expected.empty()) {
+            pool_.on_timeout(now, *current.connection, expected.front().sent);
+        }
     }
     detach(now, caller);
     const auto is_begun = caller.open && caller.open->is_begun;
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace rhubarbrun_tests {
 
 // A proxy that lacked news denied databases that had been added meanwhile.
@@ -652,6 +654,75 @@
     CHECK(harness.relay.pool().health().front().failing_since);
 }
 
+// After an outage, statements that had waited for most of their time were sent
+// to servers that were well, which were then avoided, and lost their idle
+// connections, because the answer did not come in the rest.
+TEST_CASE("session relay: a statement that is sent just before its time is "
+          "over does not make its server fail")
+{
+    auto harness = relay_harness();
+    harness.is_holding = true;
+    const auto waiting = harness.start("orders");
+    harness.ask(waiting, relay_step::write, "item data");
+    harness.pass(milliseconds(900));
+    harness.is_holding = false;
+    harness.settle();
+    REQUIRE(harness.sent.size() == 1);
+    harness.pass(milliseconds(150));
+    CHECK(harness.last_reply(waiting).error == relay_error::timeout);
+    const auto seen = harness.relay.pool().health();
+    CHECK(std::none_of(seen.begin(), seen.end(), [](const auto& each) {
+        return each.failing_since.has_value();
+    }));
+    harness.sent.clear();
+    const auto next = harness.start("orders");
+    harness.ask(next, relay_step::write, "item data");
+    CHECK(harness.sent.size() == 1);
+}
+
+// Only reads counted as signs of life, so that a primary that refused or
+// committed was taken for silent.
+TEST_CASE("session relay: any answer shows that a server is alive")
+{
+    auto harness = relay_harness();
+    const auto slow = harness.start("orders");
+    const auto other = harness.start("orders");
+    harness.ask(slow, relay_step::write, "item data");
+    harness.ask(other, relay_step::write, "item data");
+    REQUIRE(harness.sent.size() == 2);
+    harness.answer_all();
+    harness.pass(milliseconds(5));
+    harness.ask(slow, relay_step::write, "item data");
+    const auto unanswered = harness.sent.front();
+    harness.sent.clear();
+    harness.pass(milliseconds(600));
+    harness.ask(other, relay_step::write, "item data");
+    REQUIRE(harness.sent.size() == 1);
+    CHECK(harness.opened == 2);
+    harness.answer(relay_error::failed);
+    harness.pass(milliseconds(500));
+    CHECK(harness.last_reply(slow).error == relay_error::timeout);
+    const auto seen = harness.relay.pool().health();
+    CHECK(std::none_of(seen.begin(), seen.end(), [](const auto& each) {
+        return each.failing_since.has_value();
+    }));
+    CHECK(harness.server_of(unanswered) == "p");
+}
+
+TEST_CASE("session relay: a server that is silent for the time of a statement "
+          "fails")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::write, "item data");
+    harness.pass(milliseconds(1050));
+    CHECK(harness.last_reply(caller).error == relay_error::timeout);
+    const auto seen = harness.relay.pool().health();
+    CHECK(std::any_of(seen.begin(), seen.end(), [](const auto& each) {
+        return each.id == target_id("p") && each.failing_since.has_value();
+    }));
+}
+
 // Every position of every group came with every view.
 TEST_CASE("relay: control is asked for positions, and the primary only if "
           "control is late")
