coordination: half of a server's connections are room for a return of all

Cause: after a loss of all power, servers hold the lost connections for seconds and refuse new ones. Where processes outnumber the connections, only refusals shortened the idle time, so that the servers were at their limit always. Without a connection to the primary there is no position either, so that idle replicas served nothing. Change: connection_share, half of the limit, with bursts of twice the share, whose idle connections go after 150 ms; scarce_idle_time also shrinks while a process holds more than its share on average; one connection until the number of processes is known, as hundreds may start at the same moment. Beside it, a proxy that follows no control member tries up to three beside each other, 150 ms apart, instead of waiting 350 ms for one that is down. Tests that state the number of connections follow the smaller share; those that need several now state the number of processes, as one connection is opened while it is unknown.

--- a/include/rhubarbrun/coordination/member_choice.hpp
+++ b/include/rhubarbrun/coordination/member_choice.hpp
@@ -62,7 +62,8 @@
 /// answers. While the view is too old, the other members are tried one after
 /// the other; the followed one is asked all the while, and left only once
 /// another one has given a fresh view. The same holds for the return to the own
-/// region.
+/// region. A process that follows none, such as one that starts, does not wait
+/// for members that do not answer: it tries a few at a time.
 ///
 /// It does no I/O: the caller passes time and events, and implements the hooks.
 /// Hooks must not call back into the object.
@@ -121,21 +122,31 @@
     /// Begins to try the members of the own region.
     auto try_return(time_point now) -> void;
     auto try_next(time_point now) -> void;
-    auto end_trial(std::string_view reason) -> void;
-    /// Follows the member that is tried.
-    auto follow_trial(std::string_view reason) -> void;
+    /// Ends the trial and, if it was the only one, begins the next.
+    auto end_trial(time_point now, const std::string& address,
+                   std::string_view reason) -> void;
+    [[nodiscard]] auto is_tried(const std::string& address) const -> bool;
+    /// Whether another member may be tried beside those that are tried.
+    [[nodiscard]] auto may_try_beside() const -> bool;
+    /// Ends the trials that `which` selects; returns whether there was one.
+    auto end_trials(std::string_view reason,
+                    const std::function<bool(const trial&)>& which) -> bool;
+    /// Follows a member that is tried.
+    auto follow(const std::string& address, std::string_view reason) -> void;
 
     member_choice_options options_;
     member_choice_hooks hooks_;
     std::vector<member_location> members_;
     /// Its link is up; empty if there is none.
     std::string followed_;
-    std::optional<trial> trial_;
+    std::vector<trial> trials_;
     /// Members still to be tried, the next one last.
     std::vector<std::string> untried_;
     /// Searches since the view was fresh last.
     unsigned searches_ = 0;
     time_point next_search_;
+    /// When a member may be tried beside those that are tried.
+    time_point next_trial_;
     time_point next_return_;
     time_point next_request_;
     std::optional<time_point> covered_;
--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -1,6 +1,7 @@
 #ifndef RHUBARBRUN_COORDINATION_SERVER_POOL_HPP
 #define RHUBARBRUN_COORDINATION_SERVER_POOL_HPP
 
+#include <rhubarbrun/coordination/connection_headroom.hpp>
 #include <rhubarbrun/coordination/data_path_ids.hpp>
 #include <rhubarbrun/coordination/server_directory.hpp>
 #include <rhubarbrun/coordination/server_path.hpp>
@@ -43,17 +44,16 @@
     /// Limit of connections to one server during a burst, as a multiple of this
     /// process's share. Other processes may need the connections beyond the
     /// share.
-    std::size_t burst_factor = 3;
+    std::size_t burst_factor = 2;
     /// Idle connections beyond the first are closed after this long.
     duration max_idle_time = std::chrono::seconds(2);
     /// Idle connections beyond this process's share of the server's limit are
     /// closed after this long, so that other processes can use them.
-    duration max_surplus_idle_time = std::chrono::milliseconds(400);
+    duration max_surplus_idle_time = std::chrono::milliseconds(150);
     /// If there are more processes than connections at a server, every idle
     /// connection is closed after this long, about the pause between two
-    /// statements of one process for one server. Each connection that the
-    /// server refuses at its limit halves the time down to
-    /// `min_scarce_idle_time`; without refusals it grows back.
+    /// statements of one process for one server, and sooner while the process
+    /// holds more than its share, see `scarce_idle_time`.
     duration max_scarce_idle_time = std::chrono::milliseconds(800);
     duration min_scarce_idle_time = std::chrono::milliseconds(100);
 };
@@ -186,6 +186,12 @@
 
     struct server
     {
+        explicit server(const server_pool_options& options)
+            : idle_time(options.min_scarce_idle_time,
+                        options.max_scarce_idle_time)
+        {
+        }
+
         server_record record;
         /// Revision of the last claim to be primary, 0 for none.
         std::uint64_t claim = 0;
@@ -212,8 +218,7 @@
         /// connection limit.
         std::size_t limit_refusals = 0;
         time_point out_of_connections_until;
-        /// Maximum idle time while connections are scarce.
-        duration idle_limit;
+        scarce_idle_time idle_time;
         /// End of the pause in which no connections beyond the share are
         /// opened.
         time_point burst_not_before;
@@ -250,9 +255,7 @@
     [[nodiscard]] auto score(time_point now, const server& each,
                              bool is_primary_needed) const -> double;
     [[nodiscard]] auto base_latency(const server& each) const -> double;
-    /// This process's share of the server's connections; may be below 1.
-    [[nodiscard]] auto fractional_share_of(const server& each) const -> double;
-    [[nodiscard]] auto share_of(const server& each) const -> std::size_t;
+    [[nodiscard]] auto share_of(const server& each) const -> connection_share;
     [[nodiscard]] auto has_scarce_connections(const server& each) const -> bool;
     auto close_unused(time_point now, server& each) -> void;
     [[nodiscard]] auto may_open(time_point now, const server& each,
@@ -278,7 +281,7 @@
     std::map<group_id, std::vector<server*>> groups_;
     std::map<connection_id, connection> connections_;
     std::map<group_id, std::uint32_t> limits_;
-    std::uint32_t process_count_;
+    std::uint32_t process_count_ = 1;
     bool is_process_count_known_ = false;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_claim_ = 0;
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -21,6 +21,10 @@
 /// a change of leader it is soon fresh again.
 constexpr auto usual_age = milliseconds(1000);
 constexpr auto short_interval = milliseconds(200);
+/// While no member is followed, another one is tried beside those that have not
+/// answered within this time, several round trips between regions.
+constexpr auto next_trial_delay = milliseconds(150);
+constexpr auto max_trials = std::size_t{3};
 
 } // namespace
 
@@ -39,11 +43,15 @@
 
 auto member_choice::tick(time_point now) -> void
 {
-    if (trial_ && now >= trial_->deadline) {
-        end_trial("no_answer");
+    const auto is_any_over = end_trials(
+        "no_answer", [now](const auto& each) { return now >= each.deadline; });
+    if (is_any_over && trials_.empty()) {
+        try_next(now);
+    } else if (may_try_beside() && now >= next_trial_) {
         try_next(now);
     }
-    if (!trial_ && now >= next_search_ && (followed_.empty() || !is_fresh(now)))
+    if (trials_.empty() && now >= next_search_ &&
+        (followed_.empty() || !is_fresh(now)))
     {
         search(now);
     }
@@ -59,8 +67,13 @@
 auto member_choice::next_tick() const -> time_point
 {
     auto next = next_request_;
-    if (trial_) {
-        next = std::min(next, trial_->deadline);
+    if (!trials_.empty()) {
+        for (const auto& each : trials_) {
+            next = std::min(next, each.deadline);
+        }
+        if (may_try_beside()) {
+            next = std::min(next, next_trial_);
+        }
     } else if (followed_.empty() || !covered_) {
         next = std::min(next, next_search_);
     } else {
@@ -73,7 +86,7 @@
 
 auto member_choice::on_link_up(const std::string& address) -> void
 {
-    if (trial_ && trial_->address == address) {
+    if (is_tried(address)) {
         hooks_.request(address);
     }
 }
@@ -81,14 +94,13 @@
 auto member_choice::on_link_down(time_point now, const std::string& address)
     -> void
 {
-    if (trial_ && trial_->address == address) {
-        end_trial("link_down");
-        try_next(now);
+    if (is_tried(address)) {
+        end_trial(now, address, "link_down");
     } else if (address == followed_) {
         hooks_.log_left(address, "link_down");
         hooks_.forget(address);
         followed_.clear();
-        if (!trial_) {
+        if (trials_.empty()) {
             search(now);
         }
     }
@@ -97,8 +109,8 @@
 auto member_choice::on_answer(time_point now, const std::string& address,
                               std::optional<time_point> covered) -> void
 {
-    const auto is_tried = trial_ && trial_->address == address;
-    if (!is_tried && address != followed_) {
+    const auto was_tried = is_tried(address);
+    if (!was_tried && address != followed_) {
         return;
     }
     if (covered && (!covered_ || *covered > *covered_)) {
@@ -108,25 +120,30 @@
     if (is_good) {
         searches_ = 0;
     }
-    if (is_tried) {
+    if (was_tried) {
         if (is_good) {
             untried_.clear();
-            follow_trial("fresher_member");
+            follow(address, "fresher_member");
+            static_cast<void>(
+                end_trials("not_needed", [](const auto&) { return true; }));
         } else if (followed_.empty()) {
             // An old view is better than none while the search goes on.
-            follow_trial("none");
-            try_next(now);
+            follow(address, "none");
+            if (trials_.empty()) {
+                try_next(now);
+            }
         } else {
-            end_trial("old_view");
-            try_next(now);
+            end_trial(now, address, "old_view");
         }
-    } else if (is_good && trial_) {
+    } else if (is_good) {
         untried_.clear();
-        if (is_near(followed_) || !is_near(trial_->address)) {
-            end_trial("not_needed");
-        }
+        const auto may_return = !is_near(followed_);
+        static_cast<void>(end_trials("not_needed", [&](const auto& each) {
+            return !may_return || !is_near(each.address);
+        }));
     }
-    if (is_good && !trial_ && !is_near(followed_) && now >= next_return_) {
+    if (is_good && trials_.empty() && !is_near(followed_) &&
+        now >= next_return_) {
         try_return(now);
     }
 }
@@ -204,26 +221,61 @@
         }
         return;
     }
-    trial_ = trial{std::move(untried_.back()), now + trial_patience()};
+    trials_.push_back({std::move(untried_.back()), now + trial_patience()});
     untried_.pop_back();
-    hooks_.connect(trial_->address);
+    next_trial_ = now + next_trial_delay;
+    hooks_.connect(trials_.back().address);
+}
+
+auto member_choice::is_tried(const std::string& address) const -> bool
+{
+    return std::any_of(trials_.begin(), trials_.end(), [&](const auto& each) {
+        return each.address == address;
+    });
+}
+
+auto member_choice::may_try_beside() const -> bool
+{
+    return followed_.empty() && !trials_.empty() &&
+           trials_.size() < max_trials && !untried_.empty();
 }
 
-auto member_choice::end_trial(std::string_view reason) -> void
+auto member_choice::end_trials(std::string_view reason,
+                               const std::function<bool(const trial&)>& which)
+    -> bool
 {
-    hooks_.log_left(trial_->address, reason);
-    hooks_.forget(trial_->address);
-    trial_.reset();
+    const auto first_ended =
+        std::stable_partition(trials_.begin(), trials_.end(),
+                              [&](const auto& each) { return !which(each); });
+    const auto ended = std::vector<trial>(first_ended, trials_.end());
+    trials_.erase(first_ended, trials_.end());
+    for (const auto& each : ended) {
+        hooks_.log_left(each.address, reason);
+        hooks_.forget(each.address);
+    }
+    return !ended.empty();
 }
 
-auto member_choice::follow_trial(std::string_view reason) -> void
+auto member_choice::end_trial(time_point now, const std::string& address,
+                              std::string_view reason) -> void
+{
+    static_cast<void>(end_trials(
+        reason, [&](const auto& each) { return each.address == address; }));
+    if (trials_.empty()) {
+        try_next(now);
+    }
+}
+
+auto member_choice::follow(const std::string& address, std::string_view reason)
+    -> void
 {
     if (!followed_.empty()) {
         hooks_.log_left(followed_, reason);
         hooks_.forget(followed_);
     }
-    followed_ = std::move(trial_->address);
-    trial_.reset();
+    followed_ = address;
+    std::erase_if(trials_,
+                  [&](const auto& each) { return each.address == address; });
 }
 
 } // namespace rhubarbrun::inline v1
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -34,17 +34,12 @@
 /// Interval of that search while connections are scarce and the maximum idle
 /// time is short.
 constexpr auto scarce_tick_interval = milliseconds(100);
-/// Growth of the maximum idle time in each of these intervals without a
-/// refusal.
-constexpr auto idle_limit_growth_percentage = 101;
 /// No connections beyond the share are opened to a server for this long after
 /// it was full.
 constexpr auto burst_backoff = std::chrono::seconds(2);
 /// What this process saw of a server says nothing about its state any more
 /// after this long.
 constexpr auto health_ttl = std::chrono::seconds(2);
-/// Number of processes assumed until control reports it.
-constexpr auto default_process_count = std::uint32_t{16};
 
 } // namespace
 
@@ -67,14 +62,13 @@
                          close_function close)
     : options_(std::move(options)),
       open_(std::move(open)),
-      close_(std::move(close)),
-      process_count_(default_process_count)
+      close_(std::move(close))
 {
 }
 
 auto server_pool::update(time_point now, const server_record& record) -> void
 {
-    auto& each = servers_[record.id];
+    auto& each = servers_.try_emplace(record.id, options_).first->second;
     const auto is_known = !each.record.id.is_empty();
     if (is_known && !record.is_newer_than(each.record)) {
         // Such as from a control member that started with old hints.
@@ -93,7 +87,8 @@
     each.record = record;
     if (is_restart) {
         each.path = {};
-        each.idle_limit = options_.max_scarce_idle_time;
+        each.idle_time = {options_.min_scarce_idle_time,
+                          options_.max_scarce_idle_time};
         each.limit_refusals = 0;
         each.avoid_until = {};
         each.failures = 0;
@@ -211,8 +206,7 @@
             each.limit_refusals = 0;
             each.out_of_connections_until = now + out_of_connections_time;
         }
-        each.idle_limit =
-            std::max(options_.min_scarce_idle_time, each.idle_limit / 2);
+        each.idle_time.on_refused();
         if (detour.empty()) {
             each.answered_at = now;
         }
@@ -427,8 +421,7 @@
 {
     auto is_scarce = false;
     for (auto& [id, each] : servers_) {
-        const auto is_at_rest =
-            each.open == 0 && each.idle_limit >= options_.max_scarce_idle_time;
+        const auto is_at_rest = each.open == 0 && each.idle_time.is_at_max();
         if (!is_at_rest) {
             close_unused(now, each);
             is_scarce |= has_scarce_connections(each);
@@ -439,18 +432,18 @@
 
 auto server_pool::close_unused(time_point now, server& each) -> void
 {
+    const auto share = share_of(each);
+    each.idle_time.on_held(now, each.open);
     if (has_scarce_connections(each)) {
-        each.idle_limit = std::clamp(
-            each.idle_limit * idle_limit_growth_percentage / 100,
-            options_.min_scarce_idle_time, options_.max_scarce_idle_time);
-        close_idle(now, each, 0, each.idle_limit);
+        each.idle_time.adjust(share);
+        close_idle(now, each, 0, each.idle_time.limit());
     } else {
         close_idle(now, each, 1, options_.max_idle_time);
     }
     // Only idle connections can be closed as surplus.
-    const auto share = share_of(each);
-    if (each.open > share) {
-        const auto surplus = std::min(each.open - share, each.idle.size());
+    if (each.open > share.whole()) {
+        const auto surplus =
+            std::min(each.open - share.whole(), each.idle.size());
         close_idle(now, each, each.idle.size() - surplus,
                    options_.max_surplus_idle_time);
     }
--- a/src/coordination/server_pool_choice.cpp
+++ b/src/coordination/server_pool_choice.cpp
@@ -33,9 +33,6 @@
 /// A primary that shuts down gets work for this long, because its successor is
 /// still being chosen; a replica gets none.
 constexpr auto max_leaving_primary_time = std::chrono::seconds(5);
-/// Fraction of a server's connections that the processes share. The rest is for
-/// control and for closed connections that the server has not released yet.
-constexpr auto shared_fraction = 0.9;
 
 } // namespace
 
@@ -142,31 +139,26 @@
     return result;
 }
 
-auto server_pool::fractional_share_of(const server& each) const -> double
+auto server_pool::share_of(const server& each) const -> connection_share
 {
     const auto found = limits_.find(each.record.group);
-    const auto total = found == limits_.end() ? 0U : found->second;
-    return shared_fraction * total / process_count_;
-}
-
-auto server_pool::share_of(const server& each) const -> std::size_t
-{
-    return std::max<std::size_t>(
-        1, static_cast<std::size_t>(fractional_share_of(each)));
+    return {found == limits_.end() ? 0U : found->second, process_count_};
 }
 
 auto server_pool::may_open(time_point now, const server& each,
                            const connection_request& need) const -> bool
 {
-    const auto share = share_of(each);
-    const auto limit =
-        now < each.burst_not_before ? share : share * options_.burst_factor;
+    // A process that does not know how many share the server may be one of
+    // hundreds that start at the same moment.
+    const auto share =
+        is_process_count_known_ ? share_of(each).whole() : std::size_t{1};
     const auto is_pressed =
         now < each.burst_not_before || !is_process_count_known_;
+    const auto limit = is_pressed ? share : share * options_.burst_factor;
     const auto at_once =
         is_pressed ? std::size_t{1} : std::min(need.waiting, max_connecting);
-    return each.open < (is_process_count_known_ ? limit : share) &&
-           each.connecting < at_once && now >= each.no_connections_until;
+    return each.open < limit && each.connecting < at_once &&
+           now >= each.no_connections_until;
 }
 
 auto server_pool::rank(time_point now, const connection_request& need)
@@ -260,7 +252,7 @@
 
 auto server_pool::has_scarce_connections(const server& each) const -> bool
 {
-    return is_process_count_known_ && fractional_share_of(each) < 1;
+    return is_process_count_known_ && share_of(each).is_scarce();
 }
 
 } // namespace rhubarbrun::inline v1
--- a/tests/coordination/server_path_test.cpp
+++ b/tests/coordination/server_path_test.cpp
@@ -51,6 +51,7 @@
     "another one")
 {
     auto harness = relay_harness();
+    harness.relay.set_process_count(18);
     harness.refusals["p"] = connect_failure::unreachable;
     const auto caller = harness.start("orders");
     harness.ask(caller, relay_step::write, "item data");
@@ -91,6 +92,7 @@
           "unreachable")
 {
     auto harness = relay_harness();
+    harness.relay.set_process_count(18);
     const auto first = harness.start("orders");
     const auto second = harness.start("orders");
     harness.ask(first, relay_step::write, "item data");
