--- a/tests/state/control_state_test.cpp
+++ b/tests/state/control_state_test.cpp
@@ -136,6 +136,36 @@
     CHECK_FALSE(log.state.find_operator("token-ann").has_value());
 }
 
+// A process that starts proposes the first operators of its settings file, and
+// a snapshot may be all that it has.
+TEST_CASE("a withdrawn token stays withdrawn after a restart")
+{
+    auto log = test_log{};
+    log.start();
+    const auto first_operators = sample_bundle(1).operators;
+    auto value = sample_bundle(2);
+    value.operators[0].hash = hash_token("new");
+    value.operators.pop_back();
+    const auto removed = first_operators.back().id;
+    const auto removed_token = "token-" + removed.value();
+    log(propose("ann", value));
+    log(approve("bob", value));
+    log(roll("ann", value));
+    log.state = control_state::load(log.state.save());
+    CHECK(log(bootstrap_command{first_operators}).is_ok());
+    CHECK_FALSE(log.state.find_operator("token-ann").has_value());
+    CHECK(log(propose(removed.value(), sample_bundle(3))).status ==
+          command_status::unknown_operator);
+    // The next bundle ends also the repetition of requests by operators that
+    // the last one removed.
+    value.version = bundle_version(3);
+    log(propose("bob", value));
+    log(approve("ann", value));
+    log(roll("bob", value));
+    log.state = control_state::load(log.state.save());
+    CHECK_FALSE(log.state.find_operator(removed_token).has_value());
+}
+
 TEST_CASE("open proposals are bounded without freeing their versions")
 {
     auto log = test_log{};
