coordination: scarce connections are closed by refusals only, as before

Change: that part is taken out; bursts and surplus idle time where connections are scarce are those of before, and "scarce" means fewer connections than processes, as before. Kept: half of the limit where they are not scarce, and one connection until the number of processes is known.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -41,19 +41,18 @@
     zone_id zone;
     /// Region of each availability zone.
     std::map<zone_id, std::string> regions;
-    /// Limit of connections to one server during a burst, as a multiple of this
-    /// process's share. Other processes may need the connections beyond the
-    /// share.
-    std::size_t burst_factor = 2;
     /// Idle connections beyond the first are closed after this long.
     duration max_idle_time = std::chrono::seconds(2);
     /// Idle connections beyond this process's share of the server's limit are
     /// closed after this long, so that other processes can use them.
     duration max_surplus_idle_time = std::chrono::milliseconds(150);
+    /// The same if there are more processes than connections at the server.
+    duration max_scarce_surplus_idle_time = std::chrono::milliseconds(400);
     /// If there are more processes than connections at a server, every idle
     /// connection is closed after this long, about the pause between two
-    /// statements of one process for one server, and sooner while the process
-    /// holds more than its share, see `scarce_idle_time`.
+    /// statements of one process for one server. Each connection that the
+    /// server refuses at its limit halves the time down to
+    /// `min_scarce_idle_time`; without refusals it grows back.
     duration max_scarce_idle_time = std::chrono::milliseconds(800);
     duration min_scarce_idle_time = std::chrono::milliseconds(100);
 };
@@ -186,12 +185,6 @@
 
     struct server
     {
-        explicit server(const server_pool_options& options)
-            : idle_time(options.min_scarce_idle_time,
-                        options.max_scarce_idle_time)
-        {
-        }
-
         server_record record;
         /// Revision of the last claim to be primary, 0 for none.
         std::uint64_t claim = 0;
@@ -218,7 +211,8 @@
         /// connection limit.
         std::size_t limit_refusals = 0;
         time_point out_of_connections_until;
-        scarce_idle_time idle_time;
+        /// Maximum idle time while connections are scarce.
+        duration idle_limit;
         /// End of the pause in which no connections beyond the share are
         /// opened.
         time_point burst_not_before;
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -34,6 +34,9 @@
 /// Interval of that search while connections are scarce and the maximum idle
 /// time is short.
 constexpr auto scarce_tick_interval = milliseconds(100);
+/// Growth of the maximum idle time in each of these intervals without a
+/// refusal.
+constexpr auto idle_limit_growth_percentage = 101;
 /// No connections beyond the share are opened to a server for this long after
 /// it was full.
 constexpr auto burst_backoff = std::chrono::seconds(2);
@@ -68,7 +71,7 @@
 
 auto server_pool::update(time_point now, const server_record& record) -> void
 {
-    auto& each = servers_.try_emplace(record.id, options_).first->second;
+    auto& each = servers_[record.id];
     const auto is_known = !each.record.id.is_empty();
     if (is_known && !record.is_newer_than(each.record)) {
         // Such as from a control member that started with old hints.
@@ -87,8 +90,7 @@
     each.record = record;
     if (is_restart) {
         each.path = {};
-        each.idle_time = {options_.min_scarce_idle_time,
-                          options_.max_scarce_idle_time};
+        each.idle_limit = options_.max_scarce_idle_time;
         each.limit_refusals = 0;
         each.avoid_until = {};
         each.failures = 0;
@@ -206,7 +208,8 @@
             each.limit_refusals = 0;
             each.out_of_connections_until = now + out_of_connections_time;
         }
-        each.idle_time.on_refused();
+        each.idle_limit =
+            std::max(options_.min_scarce_idle_time, each.idle_limit / 2);
         if (detour.empty()) {
             each.answered_at = now;
         }
@@ -421,7 +424,8 @@
 {
     auto is_scarce = false;
     for (auto& [id, each] : servers_) {
-        const auto is_at_rest = each.open == 0 && each.idle_time.is_at_max();
+        const auto is_at_rest =
+            each.open == 0 && each.idle_limit >= options_.max_scarce_idle_time;
         if (!is_at_rest) {
             close_unused(now, each);
             is_scarce |= has_scarce_connections(each);
@@ -432,20 +436,22 @@
 
 auto server_pool::close_unused(time_point now, server& each) -> void
 {
-    const auto share = share_of(each);
-    each.idle_time.on_held(now, each.open);
-    if (has_scarce_connections(each)) {
-        each.idle_time.adjust(share);
-        close_idle(now, each, 0, each.idle_time.limit());
+    const auto is_scarce = has_scarce_connections(each);
+    if (is_scarce) {
+        each.idle_limit = std::clamp(
+            each.idle_limit * idle_limit_growth_percentage / 100,
+            options_.min_scarce_idle_time, options_.max_scarce_idle_time);
+        close_idle(now, each, 0, each.idle_limit);
     } else {
         close_idle(now, each, 1, options_.max_idle_time);
     }
     // Only idle connections can be closed as surplus.
-    if (each.open > share.whole()) {
-        const auto surplus =
-            std::min(each.open - share.whole(), each.idle.size());
+    const auto share = share_of(each).size();
+    if (each.open > share) {
+        const auto surplus = std::min(each.open - share, each.idle.size());
         close_idle(now, each, each.idle.size() - surplus,
-                   options_.max_surplus_idle_time);
+                   is_scarce ? options_.max_scarce_surplus_idle_time
+                             : options_.max_surplus_idle_time);
     }
 }
 
--- a/src/coordination/server_pool_choice.cpp
+++ b/src/coordination/server_pool_choice.cpp
@@ -148,13 +148,14 @@
 auto server_pool::may_open(time_point now, const server& each,
                            const connection_request& need) const -> bool
 {
-    // A process that does not know how many share the server may be one of
-    // hundreds that start at the same moment.
-    const auto share =
-        is_process_count_known_ ? share_of(each).whole() : std::size_t{1};
     const auto is_pressed =
         now < each.burst_not_before || !is_process_count_known_;
-    const auto limit = is_pressed ? share : share * options_.burst_factor;
+    const auto share = share_of(each);
+    // A process that does not know how many share the server may be one of
+    // hundreds that start at the same moment.
+    const auto limit = !is_process_count_known_ ? std::size_t{1}
+                       : is_pressed             ? share.size()
+                                                : share.burst_size();
     const auto at_once =
         is_pressed ? std::size_t{1} : std::min(need.waiting, max_connecting);
     return each.open < limit && each.connecting < at_once &&
