--- a/tests/coordination/connection_headroom_test.cpp
+++ b/tests/coordination/connection_headroom_test.cpp
@@ -58,7 +58,6 @@
                 serve(*each);
                 each->pool->tick(now_);
             }
-            most_held_ = std::max(most_held_, held());
         }
     }
 
@@ -78,7 +77,6 @@
             }
         });
         waits_.clear();
-        refused_ = 0;
     }
 
     /// Connections at the server, those of lost processes included.
@@ -86,8 +84,6 @@
     {
         return open_ + lost_until_.size();
     }
-    [[nodiscard]] auto most_held() const -> std::size_t { return most_held_; }
-    [[nodiscard]] auto refused() const -> std::size_t { return refused_; }
 
     /// Fraction of the uses, those that still wait included, that got a
     /// connection within `limit`.
@@ -139,7 +135,6 @@
     {
         const auto is_refused = held() >= of_.connections;
         open_ += is_refused ? 0U : 1U;
-        refused_ += is_refused ? 1U : 0U;
         events_.emplace(now_ + milliseconds(15), [this, &by, id, is_refused] {
             if (is_refused) {
                 by.pool->on_connect_failed(now_, id,
@@ -193,8 +188,6 @@
     /// When the connections of lost processes end.
     std::vector<time_point> lost_until_;
     std::vector<duration> waits_;
-    std::size_t most_held_ = 0;
-    std::size_t refused_ = 0;
     double due_ = 0;
 };
 
