--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -45,9 +45,9 @@
 {
     const auto is_any_over = end_trials(
         "no_answer", [now](const auto& each) { return now >= each.deadline; });
-    if (is_any_over && trials_.empty()) {
-        try_next(now);
-    } else if (may_try_beside() && now >= next_trial_) {
+    const auto is_next_due =
+        trials_.empty() ? is_any_over : may_try_beside() && now >= next_trial_;
+    if (is_next_due) {
         try_next(now);
     }
     if (trials_.empty() && now >= next_search_ &&
