coordination: with synchronous replicas the position decides the promotion

A replica that drained held them and was passed over.

Cause: best_replica() skipped every server that was not ready, and nothing compared the chosen one with what the skipped ones had reported.

Change: with synchronous replicas the position decides and readiness only between equals; without, readiness decides first as before, and a server that drains is taken if no other one replied.

Conclusion: what alone decided before, whether a server will stay, now only decides between servers that hold the same.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -146,6 +146,10 @@
         -> std::string;
     [[nodiscard]] auto has_recent_answer(time_point now,
                                          const target_id& server) const -> bool;
+    [[nodiscard]] static auto is_ready(const server_directory& directory,
+                                       const target_id& server) -> bool;
+    /// The server to promote. With synchronous replicas the position decides,
+    /// then readiness; else readiness decides first.
     [[nodiscard]] auto best_replica(const supervised_group& group,
                                     const server_directory& directory) const
         -> std::optional<target_id>;
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -230,22 +230,39 @@
     return newest;
 }
 
+auto primary_supervisor::is_ready(const server_directory& directory,
+                                  const target_id& server) -> bool
+{
+    const auto* const known = directory.find(server);
+    return known != nullptr &&
+           known->record.state == server_availability::ready;
+}
+
 auto primary_supervisor::best_replica(const supervised_group& group,
                                       const server_directory& directory) const
     -> std::optional<target_id>
 {
     auto best = std::optional<target_id>();
-    auto reached = log_position{};
+    const auto is_better = [&](const target_id& id,
+                               const server_log_status& status) {
+        const auto& other = group.statuses.at(*best).received;
+        const auto is_id_ready = is_ready(directory, id);
+        const auto is_best_ready = is_ready(directory, *best);
+        if (group.synchronous_replicas > 0 && status.received != other) {
+            return status.received > other;
+        }
+        return is_id_ready != is_best_ready ? is_id_ready
+                                            : status.received > other;
+    };
     for (const auto& [id, status] : group.statuses) {
         const auto* const known = directory.find(id);
         if (id == group.primary || known == nullptr ||
-            known->record.state != server_availability::ready)
+            known->record.state == server_availability::gone)
         {
             continue;
         }
-        if (!best || status.received > reached) {
+        if (!best || is_better(id, status)) {
             best = id;
-            reached = status.received;
         }
     }
     return best;
@@ -275,7 +292,7 @@
     const auto best = best_replica(group, directory);
     if (!best) {
         hooks_.log("promotion_postponed", id, group.primary,
-                   "no ready replica reported its position");
+                   "no replica reported its position");
         resume_watching(now, group, milliseconds(300));
         return;
     }
