coordination: a promotion compares positions only once nothing can be acknowledged

Cause: a change went on by time instead of by confirmation. An order to step down was sent once, and 2.5 s later a replica was promoted on the positions of the first survey, while the old primary still acknowledged. An unplanned change never stopped the replicas from receiving. A promotion without an answer was forgotten once the primary was back.

Change: - Calls to servers are numbered, so that a reply counts for its order alone. - Planned: the primary steps down only once a ready replica receives; the order is repeated until it is confirmed. Then the successor holds the whole log, or all others have reported since and nothing more arrives. If no ready replica has what may be acknowledged, the lead is returned. - Unplanned, with synchronous replicas: all replicas are paused first, again if they restart; then positions are compared. A server that left holds a promotion back until its successor is there, its commits are known to be held elsewhere, or 10 s have passed. - A promotion without an answer is made void by one for the present primary, once that reports that it leads; only then replicas receive again. A new leader does the same if it finds paused replicas. - An order of a member that was suspended meanwhile is not sent.

The test `primary supervisor: a primary that shuts down hands over its whole log` lets a replica reach the primary's first position before the order to step down, as it is not given before; that the successor must hold the end of the log is checked as it was.

Open: 3 of 115,248 histories of four troubles still lose commits (`promotion search: long run`): two calls to promote in a row are late, and a paused replica restarts meanwhile.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -23,6 +23,52 @@
     term newest;
     /// End of the log that it received.
     log_position received;
+    /// Term of the order to pause that is in force; 0 if it receives.
+    term paused_by;
+};
+
+/// Number of a call to a server, unique within a supervisor.
+using server_call_number =
+    strong_id<struct server_call_number_tag, std::uint64_t>;
+
+/// What a server is asked to do; it replies with its state afterwards.
+enum class server_order : std::uint8_t
+{
+    report,
+    /// A primary of a term below the order's becomes a replica.
+    step_down,
+    /// A replica receives nothing until a promotion, `resume` or its restart,
+    /// unless it knows the order's term already.
+    pause,
+    resume,
+};
+
+/// Name of an order for logs.
+[[nodiscard]] constexpr auto to_string(server_order order) noexcept
+    -> std::string_view
+{
+    switch (order) {
+    case server_order::step_down:
+        return "step_down";
+    case server_order::pause:
+        return "pause";
+    case server_order::resume:
+        return "resume";
+    case server_order::report:
+        break;
+    }
+    return "report";
+}
+
+/// A call to a server. Without a reply it may still be carried out, seconds
+/// later.
+struct server_call
+{
+    server_call_number number;
+    server_record server;
+    server_order order = server_order::report;
+    /// Of `step_down` and `pause`.
+    term order_term;
 };
 
 /// Outcome of an order to promote a server.
@@ -49,12 +95,11 @@
 /// Operations that a `primary_supervisor` requires of its environment.
 struct primary_supervisor_hooks
 {
-    /// Requests a server's state; the result is passed to `on_status`.
-    std::function<void(const server_record&)> ask_status;
-    /// Demotes the primary of a term below `below` to a replica; the result is
-    /// passed to `on_status`.
-    std::function<void(const server_record&, term below)> step_down;
-    /// Orders a promotion; the result is passed to `on_promotion`.
+    /// Calls a server; the result is passed to `on_status` later.
+    std::function<void(const server_call&)> call_server;
+    /// Orders a promotion; the result is passed to `on_promotion`. For the
+    /// present primary the order changes nothing, but makes all earlier ones
+    /// void that have not been carried out.
     std::function<void(const group_id&, const target_id&)> promote;
     /// Writes a log line about a group.
     std::function<void(std::string_view event, const group_id&,
@@ -82,8 +127,8 @@
     /// at `now`.
     auto on_sightings(time_point now, const std::string& observer,
                       const std::vector<server_sighting>& sightings) -> void;
-    /// Handles a server's status; no value if it did not reply in time.
-    auto on_status(time_point now, const target_id& server,
+    /// Handles the reply to a call; no value if there was none in time.
+    auto on_status(time_point now, server_call_number number,
                    const std::optional<server_log_status>& status) -> void;
     auto on_promotion(time_point now, const group_id& group,
                       promotion_outcome outcome) -> void;
@@ -101,9 +146,12 @@
         watching,
         /// Collecting the state of all servers.
         surveying,
-        /// Waiting until a replica holds the whole log of a primary that
-        /// stepped down.
-        catching_up,
+        /// Waiting until no replica receives, so that the primary cannot
+        /// acknowledge any more, and positions can be compared.
+        pausing,
+        /// Waiting until the primary has stepped down and a replica holds its
+        /// whole log.
+        handing_over,
         promoting,
         /// The server accepted the promotion but has not announced it yet.
         settling,
@@ -114,18 +162,59 @@
         std::optional<time_point> failing_since;
         time_point reported_at;
     };
+    struct open_call
+    {
+        target_id server;
+        std::uint64_t started_at = 0;
+        server_order order = server_order::report;
+        time_point sent_at;
+    };
+    struct sampled_position
+    {
+        time_point asked_at;
+        log_position position;
+    };
     struct supervised_group
     {
         phase stage = phase::watching;
         time_point since;
         time_point not_before;
-        std::set<target_id> asked;
+        std::map<server_call_number, open_call> calls;
+        /// Newest states since the survey began.
         std::map<target_id, server_log_status> statuses;
+        /// Servers that confirmed the order of the present phase, with their
+        /// start: a replica that starts again receives again.
+        std::map<target_id, std::uint64_t> confirmed;
         target_id primary;
+        /// The last server that claimed to be primary.
+        target_id former;
         target_id candidate;
         bool is_planned = false;
         std::uint32_t synchronous_replicas = 0;
         std::string reason;
+
+        /// Since when a planned change has been due.
+        std::optional<time_point> planned_since;
+        /// Position of the primary at the survey before; a replica that has
+        /// reached it receives.
+        std::optional<log_position> earlier_position;
+        term order_term;
+        /// When a reply last showed progress of a replica in a hand-over.
+        time_point progress_at;
+
+        /// Whether an order to promote may still be carried out.
+        bool has_open_promotion = false;
+        /// Whether the survey is to confirm the present primary by an order.
+        bool is_confirming = false;
+        /// Whether the present primary was confirmed since the last order for
+        /// another server.
+        bool is_confirmed = false;
+        /// Replicas that may be paused although no change is under way.
+        std::set<target_id> paused;
+        time_point next_patrol;
+        std::optional<sampled_position> primary_sample;
+        /// For servers that left: a position at or above the end of their log.
+        std::map<target_id, log_position> bounds_of_departed;
     };
 
     auto watch(time_point now, const group_id& id, supervised_group& group,
@@ -135,30 +224,87 @@
     auto finish_survey(time_point now, const group_id& id,
                        supervised_group& group,
                        const server_directory& directory) -> void;
+    /// Makes earlier orders void, if the surveyed primary still leads.
+    auto confirm_primary(time_point now, const group_id& id,
+                         supervised_group& group,
+                         const server_directory& directory) -> void;
+    auto plan_hand_over(time_point now, const group_id& id,
+                        supervised_group& group,
+                        const server_directory& directory) -> void;
+    auto replace_lost_primary(time_point now, const group_id& id,
+                              supervised_group& group,
+                              const server_directory& directory) -> void;
+    auto pause_replicas(time_point now, const group_id& id,
+                        supervised_group& group,
+                        const server_directory& directory) -> void;
+    auto start_hand_over(time_point now, const group_id& id,
+                         supervised_group& group) -> void;
     auto hand_over(time_point now, const group_id& id, supervised_group& group,
                    const server_directory& directory) -> void;
+    auto finish_hand_over(time_point now, const group_id& id,
+                          supervised_group& group,
+                          const server_directory& directory) -> void;
     auto promote(time_point now, const group_id& id, supervised_group& group,
                  const target_id& candidate) -> void;
+    auto postpone(time_point now, const group_id& id, supervised_group& group,
+                  const target_id& server, const std::string& reason,
+                  duration pause) -> void;
     auto resume_watching(time_point now, supervised_group& group,
                          duration pause) -> void;
+    /// Undoes what an abandoned change left behind; returns whether that is
+    /// still under way.
+    auto restore(time_point now, const group_id& id, supervised_group& group,
+                 const server_directory& directory) -> bool;
+    /// Looks regularly whether replicas of a group with synchronous replicas
+    /// are paused.
+    auto patrol(time_point now, supervised_group& group,
+                const server_directory& directory) -> void;
+    auto call(time_point now, supervised_group& group,
+              const server_record& server, server_order order) -> void;
+    /// Calls every server of the list that has no call open.
+    auto call_idle(time_point now, supervised_group& group,
+                   const std::vector<const server_record*>& servers,
+                   server_order order) -> void;
     [[nodiscard]] auto
     failure_reason(time_point now, const server_directory::entry& primary) const
         -> std::string;
     [[nodiscard]] auto has_recent_answer(time_point now,
                                          const target_id& server) const -> bool;
-    [[nodiscard]] static auto is_ready(const server_directory& directory,
-                                       const target_id& server) -> bool;
-    /// The server to promote. With synchronous replicas the position decides,
-    /// then readiness; else readiness decides first.
-    [[nodiscard]] auto best_replica(const supervised_group& group,
-                                    const server_directory& directory) const
+    /// The server to promote, other than the group's primary. With synchronous
+    /// replicas the position decides, then readiness; else readiness decides
+    /// first.
+    [[nodiscard]] static auto best_replica(const supervised_group& group,
+                                           const server_directory& directory)
+        -> std::optional<target_id>;
+    [[nodiscard]] static auto
+    best_ready_replica(const supervised_group& group,
+                       const server_directory& directory)
+        -> std::optional<target_id>;
+    /// A server that left a short while ago and may hold more than `reached`,
+    /// and whose successor has not announced itself.
+    [[nodiscard]] static auto departed_holder(time_point now,
+                                              const group_id& id,
+                                              const supervised_group& group,
+                                              const server_directory& directory,
+                                              const log_position& reached)
         -> std::optional<target_id>;
     [[nodiscard]] static auto newest_term(const supervised_group& group)
         -> term;
+    [[nodiscard]] static auto has_confirmed(const supervised_group& group,
+                                            const server_record& server)
+        -> bool;
+    [[nodiscard]] static auto is_ready(const server_directory& directory,
+                                       const target_id& server) -> bool;
+    /// Servers of a group that have not left, without its primary.
+    [[nodiscard]] static auto others(const group_id& id,
+                                     const supervised_group& group,
+                                     const server_directory& directory)
+        -> std::vector<const server_record*>;
 
     primary_supervisor_hooks hooks_;
     bool is_leading_ = false;
     time_point leading_since_;
+    server_call_number last_call_;
     std::map<group_id, supervised_group> groups_;
     /// By server, then by observer.
     std::map<target_id, std::map<std::string, sighting>> sightings_;
--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -103,7 +103,7 @@
     auto withdraw(const target_id& server) -> void;
 
     /// To be called with the outcome of a hook of the supervisor.
-    auto on_status(const target_id& server,
+    auto on_status(server_call_number number,
                    const std::optional<server_log_status>& status) -> void;
     auto on_promotion(const group_id& group, promotion_outcome outcome) -> void;
     auto on_position(const group_id& group, time_point asked_at,
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -20,12 +20,16 @@
 constexpr auto survey_timeout = milliseconds(600);
 /// Pause before a primary that proved to be alive is checked again.
 constexpr auto false_alarm_backoff = milliseconds(700);
-/// Time for a replica to receive the end of the log of a primary that stepped
-/// down. The former primary shuts down some seconds later.
-constexpr auto catch_up_timeout = milliseconds(2500);
-constexpr auto catch_up_interval = milliseconds(40);
-/// Time for a reply to the order, and for the server to announce that it is the
-/// primary.
+/// Pause between the surveys before a planned change, in which a replica that
+/// receives has to reach the primary's position.
+constexpr auto keep_up_interval = milliseconds(60);
+/// Without synchronous replicas a primary steps down after this long even if no
+/// replica keeps up, as it shuts down some seconds later.
+constexpr auto keep_up_timeout = std::chrono::seconds(3);
+/// Longest time from the acceptance of an order to promote to its effect.
+constexpr auto confirmation_delay = std::chrono::seconds(1);
+/// Time for a reply to an order to promote, and for the server to announce that
+/// it is the primary.
 constexpr auto promotion_timeout = milliseconds(1500);
 constexpr auto settling_timeout = milliseconds(2500);
 /// A new control leader first collects announcements for this long.
@@ -46,6 +50,9 @@
     leading_since_ = now;
     for (auto& [id, group] : groups_) {
         resume_watching(now, group, duration::zero());
+        // Another leader may have given orders meanwhile.
+        group.is_confirmed = false;
+        group.next_patrol = now;
     }
 }
 
@@ -129,15 +136,19 @@
             watch(now, id, group, directory);
             break;
         case phase::surveying:
-            if (group.asked.empty() || now - group.since > survey_timeout) {
+            if (group.calls.empty() || now - group.since > survey_timeout) {
                 finish_survey(now, id, group, directory);
             }
             break;
-        case phase::catching_up:
+        case phase::pausing:
+            pause_replicas(now, id, group, directory);
+            break;
+        case phase::handing_over:
             hand_over(now, id, group, directory);
             break;
         case phase::promoting:
             if (now - group.since > promotion_timeout) {
+                group.has_open_promotion = true;
                 resume_watching(now, group, duration::zero());
             }
             break;
@@ -169,17 +180,29 @@
         survey(now, id, group, directory);
         return;
     }
+    if (group.former != primary->record.id) {
+        group.former = primary->record.id;
+        group.earlier_position.reset();
+        group.planned_since.reset();
+        group.primary_sample.reset();
+    }
     group.primary = primary->record.id;
     group.is_planned = primary->record.state == server_availability::draining;
     group.reason = group.is_planned ? "the primary shuts down"
                                     : failure_reason(now, *primary);
-    if (group.reason.empty()) {
+    const auto is_alive = group.reason.empty() || group.is_planned ||
+                          has_recent_answer(now, group.primary);
+    if (is_alive && restore(now, id, group, directory)) {
         return;
     }
-    if (!group.is_planned && has_recent_answer(now, group.primary)) {
-        return;
+    if (group.is_planned) {
+        group.planned_since = group.planned_since.value_or(now);
+        survey(now, id, group, directory);
+    } else if (is_alive) {
+        patrol(now, group, directory);
+    } else {
+        survey(now, id, group, directory);
     }
-    survey(now, id, group, directory);
 }
 
 auto primary_supervisor::survey(time_point now, const group_id& id,
@@ -188,36 +211,99 @@
 {
     group.stage = phase::surveying;
     group.since = now;
-    group.asked.clear();
+    group.calls.clear();
     group.statuses.clear();
-    auto asked = std::vector<server_record>();
+    hooks_.log("primary_surveyed", id, group.primary, group.reason);
     for (const auto* const known : directory.servers_of(id)) {
         if (known->record.state != server_availability::gone) {
-            group.asked.insert(known->record.id);
-            asked.push_back(known->record);
+            call(now, group, known->record, server_order::report);
         }
     }
-    hooks_.log("primary_surveyed", id, group.primary, group.reason);
-    for (const auto& record : asked) {
-        hooks_.ask_status(record);
+}
+
+auto primary_supervisor::call(time_point now, supervised_group& group,
+                              const server_record& server, server_order order)
+    -> void
+{
+    last_call_ = last_call_.next();
+    group.calls[last_call_] = {server.id, server.started_at, order, now};
+    hooks_.call_server({last_call_, server, order, group.order_term});
+}
+
+auto primary_supervisor::call_idle(
+    time_point now, supervised_group& group,
+    const std::vector<const server_record*>& servers, server_order order)
+    -> void
+{
+    for (const auto* const server : servers) {
+        const auto is_called = std::any_of(
+            group.calls.begin(), group.calls.end(),
+            [&](const auto& each) { return each.second.server == server->id; });
+        if (!is_called) {
+            call(now, group, *server, order);
+        }
     }
 }
 
 auto primary_supervisor::on_status(
-    time_point now, const target_id& server,
+    time_point now, server_call_number number,
     const std::optional<server_log_status>& status) -> void
 {
     for (auto& [id, group] : groups_) {
-        if (group.asked.erase(server) > 0 && status) {
-            group.statuses[server] = *status;
-            if (server == group.primary &&
-                status->role == server_role::primary && !group.is_planned &&
-                group.stage == phase::surveying)
+        const auto found = group.calls.find(number);
+        if (found == group.calls.end()) {
+            continue;
+        }
+        const auto call = found->second;
+        group.calls.erase(found);
+        if (!status) {
+            return;
+        }
+        const auto is_progress =
+            !group.statuses.contains(call.server) ||
+            group.statuses.at(call.server).received < status->received;
+        group.progress_at = is_progress ? now : group.progress_at;
+        group.statuses[call.server] = *status;
+        const auto is_primary = status->role == server_role::primary;
+        const auto is_changing =
+            group.stage == phase::pausing || group.stage == phase::handing_over;
+        if (is_changing && is_primary && call.server != group.primary) {
+            hooks_.log("primary_alive", id, call.server, group.reason);
+            resume_watching(now, group, false_alarm_backoff);
+            return;
+        }
+        switch (group.stage) {
+        case phase::watching:
+            if (status->paused_by > term(0)) {
+                group.paused.insert(call.server);
+            }
+            if (is_primary && call.server == group.primary) {
+                group.primary_sample = {call.sent_at, status->received};
+            }
+            break;
+        case phase::surveying:
+            if (is_primary && call.server == group.primary &&
+                !group.is_planned && !group.is_confirming)
             {
-                hooks_.log("primary_alive", id, server, group.reason);
+                hooks_.log("primary_alive", id, call.server, group.reason);
                 resume_watching(now, group, false_alarm_backoff);
             }
+            break;
+        case phase::pausing:
+            // A server that knows the order's term ignores it.
+            if (call.order == server_order::pause &&
+                status->newest < group.order_term) {
+                group.confirmed[call.server] = call.started_at;
+            }
+            break;
+        case phase::handing_over:
+            group.confirmed[call.server] = call.started_at;
+            break;
+        case phase::promoting:
+        case phase::settling:
+            break;
         }
+        return;
     }
 }
 
@@ -230,6 +316,13 @@
     return newest;
 }
 
+auto primary_supervisor::has_confirmed(const supervised_group& group,
+                                       const server_record& server) -> bool
+{
+    const auto found = group.confirmed.find(server.id);
+    return found != group.confirmed.end() && found->second == server.started_at;
+}
+
 auto primary_supervisor::is_ready(const server_directory& directory,
                                   const target_id& server) -> bool
 {
@@ -238,8 +331,24 @@
            known->record.state == server_availability::ready;
 }
 
+auto primary_supervisor::others(const group_id& id,
+                                const supervised_group& group,
+                                const server_directory& directory)
+    -> std::vector<const server_record*>
+{
+    auto result = std::vector<const server_record*>();
+    for (const auto* const known : directory.servers_of(id)) {
+        if (known->record.state != server_availability::gone &&
+            known->record.id != group.primary)
+        {
+            result.push_back(&known->record);
+        }
+    }
+    return result;
+}
+
 auto primary_supervisor::best_replica(const supervised_group& group,
-                                      const server_directory& directory) const
+                                      const server_directory& directory)
     -> std::optional<target_id>
 {
     auto best = std::optional<target_id>();
@@ -268,6 +377,21 @@
     return best;
 }
 
+auto primary_supervisor::best_ready_replica(const supervised_group& group,
+                                            const server_directory& directory)
+    -> std::optional<target_id>
+{
+    auto best = std::optional<target_id>();
+    for (const auto& [id, status] : group.statuses) {
+        if (id != group.primary && is_ready(directory, id) &&
+            (!best || status.received > group.statuses.at(*best).received))
+        {
+            best = id;
+        }
+    }
+    return best;
+}
+
 auto primary_supervisor::finish_survey(time_point now, const group_id& id,
                                        supervised_group& group,
                                        const server_directory& directory)
@@ -280,70 +404,97 @@
             return;
         }
     }
-    auto silent = group.asked;
-    silent.erase(group.primary);
-    if (group.synchronous_replicas > 0 && !silent.empty()) {
-        // A replica that did not reply may be the only one that holds a commit.
-        hooks_.log("promotion_postponed", id, *silent.begin(),
-                   "a replica did not report its position");
-        resume_watching(now, group, milliseconds(200));
+    if (group.is_confirming) {
+        confirm_primary(now, id, group, directory);
+    } else if (group.is_planned && group.statuses.contains(group.primary)) {
+        plan_hand_over(now, id, group, directory);
+    } else {
+        replace_lost_primary(now, id, group, directory);
+    }
+}
+
+auto primary_supervisor::plan_hand_over(time_point now, const group_id& id,
+                                        supervised_group& group,
+                                        const server_directory& directory)
+    -> void
+{
+    const auto& primary = group.statuses.at(group.primary);
+    if (primary.role == server_role::replica) {
+        // An earlier order was carried out.
+        start_hand_over(now, id, group);
         return;
     }
-    const auto best = best_replica(group, directory);
+    for (const auto& [server, status] : group.statuses) {
+        if (status.paused_by > term(0)) {
+            group.paused.insert(server);
+        }
+    }
+    const auto best = best_ready_replica(group, directory);
     if (!best) {
-        hooks_.log("promotion_postponed", id, group.primary,
-                   "no replica reported its position");
-        resume_watching(now, group, milliseconds(300));
+        postpone(now, id, group, group.primary,
+                 "no ready replica reported its position", milliseconds(300));
         return;
     }
-    const auto* const primary = directory.find(group.primary);
-    if (group.is_planned && primary != nullptr &&
-        group.statuses.contains(group.primary))
-    {
-        group.stage = phase::catching_up;
-        group.since = now;
-        group.asked.insert(group.primary);
-        hooks_.log("primary_steps_down", id, group.primary, group.reason);
-        hooks_.step_down(primary->record, newest_term(group).next());
+    const auto goal = group.earlier_position.value_or(primary.received);
+    group.earlier_position = primary.received;
+    const auto is_late = group.synchronous_replicas == 0 &&
+                         now - *group.planned_since > keep_up_timeout;
+    if (group.statuses.at(*best).received < goal && !is_late) {
+        // Until one does, the primary serves better than nobody.
+        postpone(now, id, group, *best, "no ready replica keeps up",
+                 keep_up_interval);
         return;
     }
-    promote(now, id, group, *best);
+    start_hand_over(now, id, group);
 }
 
-auto primary_supervisor::hand_over(time_point now, const group_id& id,
-                                   supervised_group& group,
-                                   const server_directory& directory) -> void
+auto primary_supervisor::replace_lost_primary(time_point now,
+                                              const group_id& id,
+                                              supervised_group& group,
+                                              const server_directory& directory)
+    -> void
 {
     const auto best = best_replica(group, directory);
-    const auto former = group.statuses.find(group.primary);
-    const auto has_stepped_down = former != group.statuses.end() &&
-                                  former->second.role == server_role::replica;
-    if (best && has_stepped_down &&
-        group.statuses.at(*best).received >= former->second.received)
-    {
-        promote(now, id, group, *best);
+    if (!best) {
+        postpone(now, id, group, group.primary,
+                 "no replica reported its position", milliseconds(300));
         return;
     }
-    if (now - group.since > catch_up_timeout) {
-        if (best) {
-            promote(now, id, group, *best);
-        } else {
-            resume_watching(now, group, duration::zero());
+    if (group.synchronous_replicas == 0) {
+        auto furthest = *best;
+        for (const auto& [server, status] : group.statuses) {
+            if (server != group.primary &&
+                status.received > group.statuses.at(furthest).received)
+            {
+                furthest = server;
+            }
         }
+        if (group.primary.is_empty() && furthest != *best) {
+            // It may have stepped down for an earlier leader; its successor
+            // should receive the end of its log first.
+            group.primary = furthest;
+            start_hand_over(now, id, group);
+            return;
+        }
+        promote(now, id, group, *best);
         return;
     }
-    group.not_before = now + catch_up_interval;
-    if (!has_stepped_down) {
-        return;
-    }
-    for (const auto* const known : directory.servers_of(id)) {
-        const auto& record = known->record;
-        if (record.state == server_availability::ready &&
-            record.id != group.primary && group.asked.insert(record.id).second)
-        {
-            hooks_.ask_status(record);
+    for (const auto* const server : others(id, group, directory)) {
+        if (!group.statuses.contains(server->id)) {
+            // It may be the only one that holds a commit.
+            postpone(now, id, group, server->id,
+                     "a replica did not report its position",
+                     milliseconds(200));
+            return;
         }
     }
+    group.stage = phase::pausing;
+    group.since = now;
+    group.calls.clear();
+    group.confirmed.clear();
+    group.order_term = newest_term(group).next();
+    hooks_.log("replicas_paused", id, group.primary, group.reason);
+    pause_replicas(now, id, group, directory);
 }
 
 auto primary_supervisor::promote(time_point now, const group_id& id,
@@ -352,7 +503,9 @@
 {
     group.stage = phase::promoting;
     group.since = now;
+    group.calls.clear();
     group.candidate = candidate;
+    group.is_confirmed = group.is_confirmed && candidate == group.primary;
     hooks_.log("promotion_ordered", id, candidate, group.reason);
     hooks_.promote(id, candidate);
 }
@@ -364,14 +517,38 @@
     if (found == groups_.end() || found->second.stage != phase::promoting) {
         return;
     }
+    auto& known = found->second;
     if (outcome == promotion_outcome::accepted) {
-        found->second.stage = phase::settling;
-        found->second.since = now;
+        // Orders before this one are refused from now on.
+        known.has_open_promotion = false;
+        known.is_confirmed = true;
+        known.stage = phase::settling;
+        known.since = now;
+        known.next_patrol = now;
+        if (known.candidate != known.primary) {
+            known.paused.clear();
+        } else if (!known.paused.empty()) {
+            // An order that was accepted before may not have taken effect yet.
+            known.not_before = now + confirmation_delay;
+        }
         return;
     }
-    hooks_.log("promotion_failed", group, found->second.candidate,
+    if (outcome == promotion_outcome::unknown) {
+        known.has_open_promotion = true;
+    }
+    hooks_.log("promotion_failed", group, known.candidate,
                outcome == promotion_outcome::refused ? "refused" : "no answer");
-    resume_watching(now, found->second, milliseconds(200));
+    resume_watching(now, known, milliseconds(200));
+}
+
+auto primary_supervisor::postpone(time_point now, const group_id& id,
+                                  supervised_group& group,
+                                  const target_id& server,
+                                  const std::string& reason, duration pause)
+    -> void
+{
+    hooks_.log("promotion_postponed", id, server, reason);
+    resume_watching(now, group, pause);
 }
 
 auto primary_supervisor::resume_watching(time_point now,
@@ -379,8 +556,9 @@
                                          duration pause) -> void
 {
     group.stage = phase::watching;
+    group.is_confirming = false;
     group.not_before = now + pause;
-    group.asked.clear();
+    group.calls.clear();
 }
 
 } // namespace rhubarbrun::inline v1
--- /dev/null
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -0,0 +1,290 @@
+#include <rhubarbrun/coordination/primary_supervisor.hpp>
+
+#include <algorithm>
+
+namespace rhubarbrun::inline v1 {
+
+namespace {
+
+/// Time for all replicas to confirm that they are paused.
+constexpr auto pause_timeout = milliseconds(2500);
+/// Time for a primary to step down before its state is surveyed again.
+constexpr auto step_down_timeout = milliseconds(1200);
+/// Time for a primary to step down, and for a replica to receive the end of its
+/// log. The former primary shuts down some seconds later.
+constexpr auto catch_up_timeout = milliseconds(2500);
+constexpr auto catch_up_interval = milliseconds(40);
+/// A replica whose position has not changed for several round trips between
+/// regions is not going to receive more.
+constexpr auto catch_up_quiet_time = milliseconds(250);
+constexpr auto patrol_interval = std::chrono::seconds(1);
+/// Time in which a server that left is succeeded by one with its log.
+constexpr auto succession_timeout = std::chrono::seconds(10);
+
+} // namespace
+
+auto primary_supervisor::pause_replicas(time_point now, const group_id& id,
+                                        supervised_group& group,
+                                        const server_directory& directory)
+    -> void
+{
+    const auto* const claimed = directory.claimed_primary(id);
+    if (claimed != nullptr && claimed->record.id != group.primary) {
+        resume_watching(now, group, duration::zero());
+        return;
+    }
+    const auto replicas = others(id, group, directory);
+    const auto open =
+        std::find_if(replicas.begin(), replicas.end(), [&](const auto* each) {
+            return !has_confirmed(group, *each);
+        });
+    if (open == replicas.end()) {
+        const auto best = best_replica(group, directory);
+        const auto departed =
+            best ? departed_holder(now, id, group, directory,
+                                   group.statuses.at(*best).received)
+                 : std::nullopt;
+        if (best && !departed) {
+            promote(now, id, group, *best);
+            return;
+        }
+        if (now - group.since > pause_timeout) {
+            postpone(now, id, group, departed.value_or(group.primary),
+                     "a server left whose log has not returned",
+                     milliseconds(200));
+        }
+        return;
+    }
+    if (now - group.since > pause_timeout) {
+        postpone(now, id, group, (*open)->id, "a replica was not paused",
+                 milliseconds(200));
+        return;
+    }
+    auto receiving = std::vector<const server_record*>();
+    for (const auto* const each : replicas) {
+        group.paused.insert(each->id);
+        if (!has_confirmed(group, *each)) {
+            receiving.push_back(each);
+        }
+    }
+    call_idle(now, group, receiving, server_order::pause);
+}
+
+auto primary_supervisor::start_hand_over(time_point now, const group_id& id,
+                                         supervised_group& group) -> void
+{
+    group.stage = phase::handing_over;
+    group.since = now;
+    group.progress_at = now;
+    group.calls.clear();
+    group.confirmed.clear();
+    group.order_term = newest_term(group).next();
+    hooks_.log("primary_steps_down", id, group.primary, group.reason);
+}
+
+auto primary_supervisor::hand_over(time_point now, const group_id& id,
+                                   supervised_group& group,
+                                   const server_directory& directory) -> void
+{
+    const auto* const primary = directory.find(group.primary);
+    const auto former = group.statuses.find(group.primary);
+    if (primary == nullptr || former == group.statuses.end()) {
+        resume_watching(now, group, duration::zero());
+        return;
+    }
+    const auto has_stepped_down = former->second.role == server_role::replica;
+    if (!has_stepped_down) {
+        const auto is_synchronous = group.synchronous_replicas > 0;
+        if (now - group.since <=
+            (is_synchronous ? step_down_timeout : catch_up_timeout))
+        {
+            call_idle(now, group, {&primary->record}, server_order::step_down);
+        } else if (is_synchronous) {
+            // It may still acknowledge commits.
+            postpone(now, id, group, group.primary,
+                     "the primary did not step down", duration::zero());
+        } else {
+            finish_hand_over(now, id, group, directory);
+        }
+        return;
+    }
+    if (group.confirmed.erase(group.primary) > 0) {
+        // States from before that moment say nothing about its last commits.
+        group.since = now;
+        group.progress_at = now;
+        group.calls.clear();
+        group.confirmed.clear();
+    }
+    const auto best = best_ready_replica(group, directory);
+    if (best && group.statuses.at(*best).received >= former->second.received) {
+        promote(now, id, group, *best);
+        return;
+    }
+    const auto replicas = others(id, group, directory);
+    const auto is_quiet =
+        group.synchronous_replicas > 0 &&
+        now - group.progress_at > catch_up_quiet_time &&
+        std::all_of(replicas.begin(), replicas.end(), [&](const auto* each) {
+            return has_confirmed(group, *each);
+        });
+    if (is_quiet || now - group.since > catch_up_timeout) {
+        finish_hand_over(now, id, group, directory);
+        return;
+    }
+    group.not_before = now + catch_up_interval;
+    call_idle(now, group, replicas, server_order::report);
+}
+
+auto primary_supervisor::finish_hand_over(time_point now, const group_id& id,
+                                          supervised_group& group,
+                                          const server_directory& directory)
+    -> void
+{
+    const auto best = best_replica(group, directory);
+    if (group.synchronous_replicas == 0) {
+        if (best) {
+            promote(now, id, group, *best);
+        } else {
+            resume_watching(now, group, duration::zero());
+        }
+        return;
+    }
+    group.earlier_position.reset();
+    const auto replicas = others(id, group, directory);
+    const auto are_known =
+        std::all_of(replicas.begin(), replicas.end(), [&](const auto* each) {
+            return has_confirmed(group, *each);
+        });
+    // What was acknowledged is held by the former primary and another server.
+    const auto is_safe = are_known && best && is_ready(directory, *best) &&
+                         !departed_holder(now, id, group, directory,
+                                          group.statuses.at(*best).received);
+    if (!is_safe) {
+        hooks_.log("lead_returned", id, group.primary,
+                   "no ready replica holds what may be acknowledged");
+    }
+    promote(now, id, group, is_safe ? *best : group.primary);
+}
+
+auto primary_supervisor::departed_holder(time_point now, const group_id& id,
+                                         const supervised_group& group,
+                                         const server_directory& directory,
+                                         const log_position& reached)
+    -> std::optional<target_id>
+{
+    const auto servers = directory.servers_of(id);
+    for (const auto* const departed : servers) {
+        const auto& record = departed->record;
+        if (record.state != server_availability::gone ||
+            record.id == group.former ||
+            now - departed->heard_at > succession_timeout)
+        {
+            continue;
+        }
+        const auto bound = group.bounds_of_departed.find(record.id);
+        const auto is_held =
+            bound != group.bounds_of_departed.end() && reached >= bound->second;
+        const auto has_successor =
+            std::any_of(servers.begin(), servers.end(), [&](const auto* each) {
+                return each->record.state != server_availability::gone &&
+                       each->record.address == record.address &&
+                       each->record.started_at > record.started_at;
+            });
+        if (!is_held && !has_successor) {
+            return record.id;
+        }
+    }
+    return std::nullopt;
+}
+
+auto primary_supervisor::restore(time_point now, const group_id& id,
+                                 supervised_group& group,
+                                 const server_directory& directory) -> bool
+{
+    if (group.has_open_promotion && group.candidate == group.primary) {
+        // To carry it out again changes nothing.
+        group.has_open_promotion = false;
+    }
+    if (group.paused.empty() && !group.has_open_promotion) {
+        return false;
+    }
+    if (!group.is_confirmed || group.has_open_promotion) {
+        // An order of this leader or an earlier one may still be carried out.
+        // It must not find that replicas have received more since.
+        group.reason = "an earlier order may still be carried out";
+        survey(now, id, group, directory);
+        group.is_confirming = true;
+        return true;
+    }
+    for (const auto& server : group.paused) {
+        const auto* const known = directory.find(server);
+        if (known != nullptr &&
+            known->record.state != server_availability::gone &&
+            server != group.primary)
+        {
+            hooks_.log("replica_resumed", id, server, "no change is under way");
+            call(now, group, known->record, server_order::resume);
+        }
+    }
+    group.paused.clear();
+    group.next_patrol = now + patrol_interval;
+    return false;
+}
+
+auto primary_supervisor::confirm_primary(time_point now, const group_id& id,
+                                         supervised_group& group,
+                                         const server_directory& directory)
+    -> void
+{
+    const auto found = group.statuses.find(group.primary);
+    if (found == group.statuses.end() && group.synchronous_replicas > 0 &&
+        !group.paused.empty())
+    {
+        // It may lead, but acknowledges nothing while replicas are paused.
+        group.is_confirming = false;
+        replace_lost_primary(now, id, group, directory);
+        return;
+    }
+    const auto is_leading = found != group.statuses.end() &&
+                            found->second.role == server_role::primary &&
+                            found->second.newest >= newest_term(group);
+    if (!is_leading) {
+        postpone(now, id, group, group.primary,
+                 "the primary did not report that it leads", milliseconds(200));
+        return;
+    }
+    group.is_confirming = false;
+    promote(now, id, group, group.primary);
+}
+
+auto primary_supervisor::patrol(time_point now, supervised_group& group,
+                                const server_directory& directory) -> void
+{
+    if (group.synchronous_replicas == 0) {
+        return;
+    }
+    const auto* const primary = directory.find(group.primary);
+    const auto servers = directory.servers_of(primary->record.group);
+    if (group.primary_sample) {
+        for (const auto* const each : servers) {
+            if (each->record.state == server_availability::gone &&
+                each->heard_at < group.primary_sample->asked_at)
+            {
+                group.bounds_of_departed.try_emplace(
+                    each->record.id, group.primary_sample->position);
+            }
+        }
+    }
+    if (now < group.next_patrol) {
+        return;
+    }
+    group.next_patrol = now + patrol_interval;
+    group.calls.clear();
+    for (const auto* const each : servers) {
+        if (each->record.state != server_availability::gone) {
+            call(now, group, each->record, server_order::report);
+        }
+    }
+}
+
+} // namespace rhubarbrun::inline v1
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -550,10 +550,10 @@
 }
 
 auto configuration_node::on_status(
-    const target_id& server, const std::optional<server_log_status>& status)
+    server_call_number number, const std::optional<server_log_status>& status)
     -> void
 {
-    implementation_->supervisor().on_status(steady_now(), server, status);
+    implementation_->supervisor().on_status(steady_now(), number, status);
 }
 
 auto configuration_node::on_promotion(const group_id& group,
--- a/tests/coordination/primary_supervisor_test.cpp
+++ b/tests/coordination/primary_supervisor_test.cpp
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rhubarbrun_tests {
@@ -60,7 +62,9 @@
         status.role = role;
         status.newest = term(1);
         status.received = {term(1), log_offset(received)};
-        supervisor.on_status(now, target_id(server), status);
+        for (const auto number : std::exchange(open_[server], {})) {
+            supervisor.on_status(now, number, status);
+        }
     }
 
     auto sight(const std::string& proxy, bool is_answering) -> void
@@ -86,11 +90,14 @@
     auto make_hooks() -> primary_supervisor_hooks
     {
         auto hooks = primary_supervisor_hooks{};
-        hooks.ask_status = [this](const server_record& server) {
-            asked.push_back(server.id.value());
-        };
-        hooks.step_down = [this](const server_record& server, term) {
-            stepped_down.push_back(server.id.value());
+        hooks.call_server = [this](const server_call& call) {
+            const auto& server = call.server.id.value();
+            open_[server].push_back(call.number);
+            if (call.order == server_order::report) {
+                asked.push_back(server);
+            } else if (call.order == server_order::step_down) {
+                stepped_down.push_back(server);
+            }
         };
         hooks.promote = [this](const group_id&, const target_id& server) {
             promoted.push_back(server.value());
@@ -102,6 +109,7 @@
     }
 
     std::uint64_t sequence_ = 0;
+    std::map<std::string, std::vector<server_call_number>> open_;
 };
 
 const auto all = std::vector<std::string>{"p", "r1", "r2"};
@@ -171,7 +179,7 @@
     REQUIRE(servers.asked.size() == 3);
     servers.tell("p", 30, server_role::primary);
     servers.tell("r1", 10);
-    servers.tell("r2", 20);
+    servers.tell("r2", 30);
     servers.pass(milliseconds(100));
     CHECK(servers.stepped_down == std::vector<std::string>{"p"});
     CHECK(servers.promoted.empty());
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -37,11 +37,8 @@
 auto promotion_harness::make_supervisor() -> std::unique_ptr<primary_supervisor>
 {
     auto hooks = primary_supervisor_hooks{};
-    hooks.ask_status = [this](const server_record& each) {
-        on_call({each, server_order::report, term(0)});
-    };
-    hooks.step_down = [this](const server_record& each, term below) {
-        on_call({each, server_order::step_down, below});
+    hooks.call_server = [this](const server_call& call) {
+        on_call(call);
     };
     hooks.promote = [this](const group_id&, const target_id& candidate) {
         on_promote(candidate);
@@ -240,7 +237,7 @@
 
 auto promotion_harness::on_call(const server_call& call) -> void
 {
-    const auto reply = [this, leader = leader_, number = call.server.id](
+    const auto reply = [this, leader = leader_, number = call.number](
                            duration delay,
                            const std::optional<server_log_status>& status) {
         later(delay, [this, leader, number, status] {
@@ -302,6 +299,7 @@
     status.role = each.is_primary ? server_role::primary : server_role::replica;
     status.newest = term(each.newest);
     status.received = {term(each.newest), log_offset(each.log.size())};
+    status.paused_by = term(each.paused_by);
     return status;
 }
 
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -16,21 +16,6 @@
 
 using namespace rhubarbrun;
 
-enum class server_order : std::uint8_t
-{
-    report,
-    step_down,
-    pause,
-    resume,
-};
-
-struct server_call
-{
-    server_record server;
-    server_order order = server_order::report;
-    term order_term;
-};
-
 /// A group of three servers with one synchronous replica, a caller that writes
 /// all the time, the provider that promotes, and the supervisor of the control
 /// leader, in virtual time.
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -2,10 +2,200 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
 namespace rhubarbrun_tests {
 
+namespace {
+
 using std::chrono::seconds;
 
+enum class trouble : std::uint8_t
+{
+    none,
+    crash_primary,
+    /// Too short for some changes to be finished.
+    crash_primary_briefly,
+    crash_replica,
+    deafen_near_replica,
+    deafen_far_replica,
+    release_primary,
+    release_near_replica,
+    change_leader,
+    late_orders,
+    late_promotion,
+    cut_primary_from_control,
+    /// The same, and proxies report that they do not reach it.
+    hide_primary,
+    /// The caller does not write, so that all positions become equal.
+    rest,
+};
+constexpr auto trouble_count = std::size_t{14};
+/// All servers are back, and late orders are carried out.
+constexpr auto calm_length = seconds(25);
+
+auto apply(promotion_harness& group, trouble what) -> void
+{
+    auto* const leading = group.primary();
+    switch (what) {
+    case trouble::none:
+        break;
+    case trouble::crash_primary:
+    case trouble::crash_primary_briefly:
+        if (leading != nullptr) {
+            group.crash(*leading, what == trouble::crash_primary
+                                      ? duration(seconds(6))
+                                      : duration(milliseconds(1500)));
+        }
+        break;
+    case trouble::crash_replica:
+        group.crash(group.servers[1], seconds(3));
+        break;
+    case trouble::deafen_near_replica:
+        group.deafen(group.servers[2], seconds(5));
+        break;
+    case trouble::deafen_far_replica:
+        group.deafen(group.servers[1], seconds(5));
+        break;
+    case trouble::release_primary:
+        if (leading != nullptr) {
+            group.release(*leading);
+        }
+        break;
+    case trouble::release_near_replica:
+        group.release(group.servers[2]);
+        break;
+    case trouble::change_leader:
+        group.change_leader();
+        break;
+    case trouble::late_orders:
+        group.are_orders_late = true;
+        group.later(seconds(4), [&group] { group.are_orders_late = false; });
+        break;
+    case trouble::late_promotion:
+        group.is_promotion_late = true;
+        break;
+    case trouble::cut_primary_from_control:
+    case trouble::hide_primary:
+        if (leading != nullptr) {
+            leading->is_cut = true;
+            leading->is_hidden = what == trouble::hide_primary;
+            group.later(seconds(4), [&group] {
+                for (auto& each : group.servers) {
+                    each.is_cut = false;
+                    each.is_hidden = false;
+                }
+            });
+        }
+        break;
+    case trouble::rest:
+        group.is_writing = false;
+        group.later(seconds(2), [&group] { group.is_writing = true; });
+        break;
+    }
+}
+
+struct search_result
+{
+    std::size_t histories = 0;
+    std::size_t with_promotion = 0;
+    std::vector<std::size_t> lost;
+    std::vector<std::size_t> without_service;
+    duration longest_gap = duration::zero();
+    std::size_t history_with_longest_gap = 0;
+    /// Sum over all histories of the longest time without service.
+    duration gaps = duration::zero();
+    /// Of the first history that broke a rule.
+    std::string events;
+};
+
+struct search_settings
+{
+    std::size_t depth = 3;
+    /// Time from one trouble to the next.
+    duration phase_length = milliseconds(900);
+    duration far_distance = milliseconds(70);
+    std::uint32_t synchronous_replicas = 1;
+    bool is_pause_ignored = false;
+};
+
+/// Plays every history of `depth` troubles.
+auto search(const search_settings& settings) -> search_result
+{
+    auto result = search_result{};
+    auto count = std::size_t{1};
+    for (auto level = std::size_t{0}; level < settings.depth; ++level) {
+        count *= trouble_count;
+    }
+    for (auto number = std::size_t{0}; number < count; ++number) {
+        auto group = promotion_harness(settings.synchronous_replicas);
+        group.is_pause_ignored = settings.is_pause_ignored;
+        group.servers[1].distance = settings.far_distance;
+        group.run(seconds(3));
+        auto rest = number;
+        for (auto level = std::size_t{0}; level < settings.depth; ++level) {
+            apply(group, static_cast<trouble>(rest % trouble_count));
+            rest /= trouble_count;
+            group.run(settings.phase_length);
+        }
+        group.run(calm_length);
+        ++result.histories;
+        result.with_promotion += group.promoted.empty() ? 0U : 1U;
+        result.gaps += group.longest_gap;
+        if (group.longest_gap > result.longest_gap) {
+            result.longest_gap = group.longest_gap;
+            result.history_with_longest_gap = number;
+        }
+        const auto has_lost =
+            group.lost > 0 && settings.synchronous_replicas > 0;
+        const auto is_broken = has_lost || !group.is_accepting();
+        if (is_broken && result.events.empty()) {
+            for (const auto& event : group.events) {
+                result.events += '\n' + event;
+            }
+        }
+        if (has_lost) {
+            result.lost.push_back(number);
+        }
+        if (!group.is_accepting()) {
+            result.without_service.push_back(number);
+        }
+    }
+    return result;
+}
+
+auto print(const std::vector<std::size_t>& numbers) -> std::string
+{
+    auto out = std::to_string(numbers.size()) + ':';
+    for (auto index = std::size_t{0};
+         index < std::min<std::size_t>(numbers.size(), 12); ++index)
+    {
+        out += ' ' + std::to_string(numbers[index]);
+    }
+    return out;
+}
+
+auto check(const search_result& found) -> void
+{
+    MESSAGE("histories=" << found.histories
+                         << " with_promotion=" << found.with_promotion
+                         << " lost=" << print(found.lost) << " without_service="
+                         << print(found.without_service) << " longest_gap_ms="
+                         << to_milliseconds(found.longest_gap) << " in "
+                         << found.history_with_longest_gap << " mean_gap_ms="
+                         << to_milliseconds(found.gaps) /
+                                static_cast<std::int64_t>(found.histories)
+                         << found.events);
+    CHECK(found.lost.empty());
+    CHECK(found.without_service.empty());
+    CHECK(found.with_promotion > found.histories / 3);
+}
+
+} // namespace
+
 // A draining replica that alone held acknowledged commits was passed over.
 TEST_CASE("promotion: a draining replica may be the only holder of a commit")
 {
@@ -21,4 +211,132 @@
     CHECK(group.is_accepting());
 }
 
+// After an order to step down without a reply a promotion followed, while the
+// primary still acknowledged commits.
+TEST_CASE("promotion: an order to step down without a reply is repeated")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.are_orders_late = true;
+    group.is_writing = false;
+    group.run(milliseconds(200));
+    group.release(group.servers[0]);
+    group.run(milliseconds(300));
+    group.is_writing = true;
+    group.run(seconds(9));
+    CHECK(group.lost == 0);
+    CHECK(group.promoted.size() == 1);
+    CHECK(group.is_accepting());
+    // The promotion itself takes 0.6 s.
+    CHECK(group.longest_gap < seconds(2));
+}
+
+TEST_CASE("promotion: a primary that cannot be told to step down is replaced "
+          "once its replicas are paused")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.release(group.servers[0]);
+    group.run(milliseconds(60));
+    group.servers[0].is_cut = true;
+    group.run(seconds(5));
+    CHECK(group.lost == 0);
+    CHECK(group.step_downs == 0);
+    CHECK(group.promoted.size() == 1);
+    CHECK(group.longest_gap < seconds(1));
+}
+
+// A call to promote that is carried out late, after the primary was back, took
+// commits away that only the other replica held.
+TEST_CASE("promotion: a late call is void once the primary is back")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.is_promotion_late = true;
+    group.is_writing = false;
+    group.run(milliseconds(200));
+    group.crash(group.servers[0], milliseconds(1500));
+    group.run(seconds(1));
+    group.is_writing = true;
+    group.run(seconds(12));
+    CHECK(group.lost == 0);
+    CHECK(group.is_accepting());
+    CHECK(group.longest_gap < seconds(6));
+}
+
+TEST_CASE("promotion: replicas that an earlier leader paused are resumed")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.servers[1].paused_by = 2;
+    group.servers[2].paused_by = 2;
+    group.change_leader();
+    group.run(seconds(6));
+    CHECK(group.servers[1].paused_by == 0);
+    CHECK(group.servers[2].paused_by == 0);
+    CHECK(group.promoted.empty());
+    CHECK(group.is_accepting());
+}
+
+TEST_CASE("promotion: a primary steps down only for a replica that receives")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.deafen(group.servers[2], seconds(4));
+    group.deafen(group.servers[1], seconds(30));
+    group.release(group.servers[0]);
+    group.run(seconds(3));
+    CHECK(group.step_downs == 0);
+    group.run(seconds(5));
+    CHECK(group.lost == 0);
+    CHECK(group.promoted == std::vector<std::string>{"c"});
+}
+
+TEST_CASE("promotion search: no acknowledged commit is lost, and writes go on")
+{
+    auto found = search_result{};
+    SUBCASE("regions near each other")
+    {
+        auto settings = search_settings{};
+        settings.far_distance = milliseconds(20);
+        found = search(settings);
+    }
+    SUBCASE("regions far from each other")
+    {
+        found = search({});
+    }
+    SUBCASE("troubles soon after each other")
+    {
+        auto settings = search_settings{};
+        settings.phase_length = milliseconds(280);
+        found = search(settings);
+    }
+    SUBCASE("without synchronous replicas")
+    {
+        auto settings = search_settings{};
+        settings.synchronous_replicas = 0;
+        found = search(settings);
+    }
+    check(found);
+}
+
+// By hand only: --no-skip --test-case="promotion search: long run"
+TEST_CASE("promotion search: long run" * doctest::skip())
+{
+    for (const auto length : {280, 900, 2300}) {
+        auto settings = search_settings{};
+        settings.depth = 4;
+        settings.phase_length = milliseconds(length);
+        check(search(settings));
+    }
+}
+
+TEST_CASE("promotion search: servers that go on receiving are found")
+{
+    auto settings = search_settings{};
+    settings.depth = 2;
+    settings.is_pause_ignored = true;
+    CHECK_FALSE(search(settings).lost.empty());
+}
+
 } // namespace rhubarbrun_tests
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -101,6 +101,8 @@
     CHECK(status->role == server_role::replica);
     CHECK(status->newest == term(3));
     CHECK(status->received.offset == log_offset(1209));
+    CHECK(status->paused_by == term(0));
+    CHECK(parse_log_status("replica 3 3.1209 4 12 2 17")->paused_by == term(4));
     CHECK(!parse_log_status("replica x 3.1209"));
     CHECK(!parse_log_status("replica 3 -"));
     CHECK(!parse_log_status("other 3 3.1"));
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -62,9 +62,7 @@
                     primary.group, asked_at,
                     log_position{term(1), log_offset(100)});
             };
-        hooks.supervisor.ask_status = [](const server_record&) {
-        };
-        hooks.supervisor.step_down = [](const server_record&, term) {
+        hooks.supervisor.call_server = [](const server_call&) {
         };
         hooks.supervisor.promote = [](const group_id&, const target_id&) {
         };
