coordination: a proxy that ends answers every statement that it has read

Cause: the end of a proxy waited for sessions until its time was over and then stopped. Nothing said to the waiting statements that they had not run, and a statement at a server was cut without a word as well.

Change: a statement that cannot be served before the end, by what statements of its database have taken, is answered as not run as soon as that is known, also while it is queued behind others. 800 ms before the end of the grace time every statement that is still at a server is answered with what is certain: nothing of a read is kept, an open transaction is rolled back with its connection, a write or commit is in doubt. Queued statements that are answered at once no longer nest.

Conclusion: grace time ends with answers, not with a stop.

--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -153,8 +153,13 @@
         return interest_.groups(now);
     }
 
-    /// Begins a shutdown that must end `grace` later.
+    /// Begins a shutdown that must end `grace` later. Before that every
+    /// statement is answered: one that cannot be served in time as not run, as
+    /// soon as this is known, and one that is still at a server at the end
+    /// according to what is certain about it.
     auto drain(time_point now, duration grace) -> void;
+    /// Time that the last replies have to leave before `grace` is over.
+    static constexpr auto last_reply_margin = milliseconds(800);
 
     /// Handles due work; returns when to call again.
     auto tick(time_point now) -> time_point;
@@ -239,6 +244,8 @@
         std::deque<relay_statement> queued;
         /// Time of the last reply, or of the start of the session.
         time_point idle_since;
+        /// Whether queued statements are being started.
+        bool is_starting = false;
     };
     /// What the next reply on a connection belongs to.
     enum class expectation_kind : std::uint8_t
@@ -363,6 +370,11 @@
     auto exclude_server(time_point now, session& caller,
                         const target_id& server) -> void;
     auto expire(time_point now, session& caller) -> void;
+    /// Answers a statement that is not waited for any longer. `autocommit` is
+    /// the error if it was sent outside a transaction, and `in_transaction` if
+    /// it was sent inside one that is not known to be rolled back.
+    auto give_up(time_point now, session& caller, relay_error autocommit,
+                 relay_error in_transaction, std::string_view text) -> void;
     auto detach(time_point now, session& caller) -> void;
     auto recycle_connection(time_point now, connection_id id) -> void;
     auto record_observation(time_point now, const group_id& group,
@@ -376,6 +388,13 @@
     auto tick_sessions(time_point now) -> void;
     auto tick_connections(time_point now) -> void;
     auto tick_drain(time_point now) -> void;
+    /// Answers the statement that a session still has when the process ends.
+    auto answer_at_end(time_point now, session& caller) -> void;
+    /// When every statement must be answered; only while shutting down.
+    [[nodiscard]] auto last_reply_at() const -> time_point;
+    /// Whether the process ends before the statement could be served.
+    [[nodiscard]] auto ends_before_service(time_point now,
+                                           const session& caller) const -> bool;
     /// Whether the shutdown has reached the stage that closes sessions.
     [[nodiscard]] auto is_closing_sessions(time_point now) const -> bool;
     [[nodiscard]] auto may_close(time_point now, const session& caller) const
@@ -403,6 +422,9 @@
     /// Sessions that got a reply during the stage that closes sessions.
     std::set<session_id> answered_in_drain_;
     duration grace_ = duration::zero();
+    /// Time from sending a statement of a database to its reply: the recent
+    /// maximum, which decays slowly.
+    std::map<database_id, duration> service_times_;
 };
 
 } // namespace rhubarbrun::inline v1
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -127,11 +127,16 @@
 
 auto session_relay::start_next(time_point now, session& caller) -> void
 {
+    if (std::exchange(caller.is_starting, true)) {
+        // A statement that is answered at once returns here from its reply.
+        return;
+    }
     while (!caller.current && !caller.queued.empty()) {
         auto statement = std::move(caller.queued.front());
         caller.queued.pop_front();
         process(now, caller, std::move(statement));
     }
+    caller.is_starting = false;
 }
 
 auto session_relay::process(time_point now, session& caller,
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -235,7 +235,9 @@
     const auto is_overloaded =
         waited > current.route.route->latency_objective / 2 &&
         pool_.is_full(now, need);
-    if (!is_outage && !is_out_of_connections && !is_overloaded) {
+    if (!is_outage && !is_out_of_connections && !is_overloaded &&
+        !ends_before_service(now, caller))
+    {
         return false;
     }
     refuse(now, caller);
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -24,6 +24,10 @@
                               max_refusal_backoff);
 }
 
+/// Share of the difference by which the service time of a database falls with
+/// each statement that is served sooner.
+constexpr auto service_time_decay = 16;
+
 /// Limit of attempts for a read that fails at servers.
 constexpr auto max_failed_read_attempts = std::size_t{3};
 
@@ -250,6 +254,9 @@
 {
     if (reply.is_success()) {
         pool_.on_served(id);
+        const auto taken = now - asked.sent;
+        auto& usual = service_times_[caller.database];
+        usual = std::max(taken, usual - (usual - taken) / service_time_decay);
         if (caller.current->is_read) {
             pool_.on_answer(now, id, now - asked.sent);
         }
@@ -452,29 +459,49 @@
 auto session_relay::expire(time_point now, session& caller) -> void
 {
     auto& current = *caller.current;
-    const auto is_sent = current.is_sent;
-    const auto is_commit = current.statement.step == relay_step::commit;
-    const auto is_kept = is_commit && caller.open->has_written;
     if (current.connection) {
         const auto& expected = connections_.at(*current.connection).expected;
         if (!expected.empty()) {
             pool_.on_timeout(now, *current.connection, expected.front().sent);
         }
     }
+    give_up(now, caller, relay_error::timeout, relay_error::timeout,
+            "the statement's time is over");
+}
+
+auto session_relay::answer_at_end(time_point now, session& caller) -> void
+{
+    // Nothing of a read is kept.
+    const auto autocommit =
+        caller.current->is_read ? relay_error::retry : relay_error::in_doubt;
+    const auto is_commit = caller.current->statement.step == relay_step::commit;
+    // Without its commit a transaction is rolled back with the connection.
+    give_up(now, caller, autocommit,
+            is_commit ? relay_error::in_doubt : relay_error::aborted,
+            "the process ends");
+}
+
+auto session_relay::give_up(time_point now, session& caller,
+                            relay_error autocommit, relay_error in_transaction,
+                            std::string_view text) -> void
+{
+    const auto& current = *caller.current;
+    const auto is_sent = current.is_sent;
+    const auto is_commit = current.statement.step == relay_step::commit;
+    const auto is_kept = is_commit && caller.open->has_written;
     detach(now, caller);
     const auto is_begun = caller.open && caller.open->is_begun;
     if (!is_sent && !is_begun) {
         refuse(now, caller);
         return;
     }
-    auto error = relay_error::timeout;
+    auto error = autocommit;
     if (caller.open) {
-        if (!is_sent || (is_commit && !is_kept)) {
-            error = relay_error::aborted;
-        }
+        const auto is_rolled_back = !is_sent || (is_commit && !is_kept);
+        error = is_rolled_back ? relay_error::aborted : in_transaction;
     }
     end_transaction(caller);
-    finish(now, caller, error_reply(error, "the statement's time is over"));
+    finish(now, caller, error_reply(error, text));
 }
 
 } // namespace rhubarbrun::inline v1
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -128,8 +128,41 @@
                             now - caller.idle_since >= min_quiet_time);
 }
 
+auto session_relay::last_reply_at() const -> time_point
+{
+    return *draining_since_ +
+           std::max<duration>(grace_ / 2, grace_ - last_reply_margin);
+}
+
+auto session_relay::ends_before_service(time_point now,
+                                        const session& caller) const -> bool
+{
+    if (!draining_since_) {
+        return false;
+    }
+    const auto found = service_times_.find(caller.database);
+    const auto time =
+        found == service_times_.end() ? duration::zero() : found->second;
+    return now + time >= last_reply_at();
+}
+
 auto session_relay::tick_drain(time_point now) -> void
 {
+    if (now >= last_reply_at()) {
+        // A copy, as each reply may change the sessions.
+        auto busy = std::vector<session_id>();
+        for (const auto& [id, caller] : sessions_) {
+            if (caller.current) {
+                busy.push_back(id);
+            }
+        }
+        for (const auto& id : busy) {
+            const auto found = sessions_.find(id);
+            if (found != sessions_.end() && found->second.current) {
+                answer_at_end(now, found->second);
+            }
+        }
+    }
     if (!is_closing_sessions(now)) {
         return;
     }
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -36,6 +36,8 @@
         add(configuration, "orders", read_consistency::primary);
         add(configuration, "stock", read_consistency::bounded_staleness);
         add(configuration, "sheets", read_consistency::read_your_writes);
+        add(configuration, "reports", read_consistency::primary,
+            std::chrono::seconds(10));
         relay.set_configuration(
             now, std::make_shared<const service_configuration>(configuration));
         announce("p", server_role::primary);
@@ -44,8 +46,8 @@
     }
 
     static auto add(service_configuration& configuration,
-                    const std::string& name, read_consistency consistency)
-        -> void
+                    const std::string& name, read_consistency consistency,
+                    duration timeout = milliseconds(1000)) -> void
     {
         auto route = database_route{};
         route.name = name;
@@ -53,8 +55,8 @@
         route.group = group_id("g");
         route.consistency = consistency;
         route.staleness_limit = milliseconds(1500);
-        route.statement_timeout = milliseconds(1000);
-        route.latency_objective = milliseconds(500);
+        route.statement_timeout = timeout;
+        route.latency_objective = timeout / 2;
         add_route(configuration, route);
     }
 
--- a/tests/coordination/relay_loss_test.cpp
+++ b/tests/coordination/relay_loss_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -47,7 +48,8 @@
     lossy_relay(std::uint64_t seed, planted fault)
         : random_(seed), fault_(fault)
     {
-        for (const auto* const database : {"orders", "stock", "sheets"}) {
+        for (const auto* const database :
+             {"orders", "stock", "sheets", "reports"}) {
             callers_.push_back({harness_.start(database)});
         }
     }
@@ -57,7 +59,8 @@
         const auto action = random_() % 16;
         if (action < 6) {
             ask(callers_[random_() % callers_.size()]);
-        } else if (action < 14) {
+        } else if (action < (end_at_ ? 8U : 14U)) {
+            // Few are served in time while the process ends.
             serve();
         } else {
             harness_.pass(milliseconds(1 + random_() % 60));
@@ -68,7 +71,7 @@
     /// Ends all faults and gives every request the time to be answered.
     auto finish() -> void
     {
-        for (auto round = 0; round < 60; ++round) {
+        for (auto round = 0; round < 150; ++round) {
             while (!harness_.sent.empty()) {
                 carry_out(0, outcome::answer);
                 check_replies();
@@ -78,6 +81,29 @@
         }
     }
 
+    /// Begins the end of the process, which has to answer every statement.
+    auto start_end() -> void
+    {
+        end_at_ = harness_.now + milliseconds(6000);
+        harness_.relay.drain(harness_.now, milliseconds(6000));
+    }
+
+    [[nodiscard]] auto is_ending() const -> bool
+    {
+        return end_at_ && harness_.now + milliseconds(700) >= *end_at_;
+    }
+
+    auto check_all_answered() -> void
+    {
+        check_replies();
+        for (const auto& each : callers_) {
+            if (each.answered < each.asked.size()) {
+                violations.push_back(each.asked.back().id +
+                                     " got no answer before the process ended");
+            }
+        }
+    }
+
     std::vector<std::string> violations;
     std::size_t writes = 0;
     std::size_t promises = 0;
@@ -108,7 +134,10 @@
 
     auto ask(caller& from) -> void
     {
-        if (from.answered < from.asked.size()) {
+        const auto is_closed =
+            std::find(harness_.closed.begin(), harness_.closed.end(),
+                      from.id) != harness_.closed.end();
+        if (from.answered < from.asked.size() || is_closed) {
             return;
         }
         auto next = request{"q" + std::to_string(++last_request_)};
@@ -286,6 +315,7 @@
     relay_harness harness_;
     std::vector<caller> callers_;
     std::uint64_t last_request_ = 0;
+    std::optional<time_point> end_at_;
     /// Writes of the transactions that are open at servers.
     std::map<connection_id, std::vector<std::string>> open_;
     std::set<std::string> committed_;
@@ -321,8 +351,42 @@
     return result;
 }
 
+/// As `search`, with a process that ends in the middle of each history.
+auto search_ends(std::size_t histories) -> search_result
+{
+    auto result = search_result{};
+    for (auto seed = std::uint64_t{1}; seed <= histories; ++seed) {
+        auto relay = lossy_relay(seed, planted::none);
+        for (auto step = 0; step < 40; ++step) {
+            relay.step();
+        }
+        relay.start_end();
+        while (!relay.is_ending()) {
+            relay.step();
+        }
+        relay.check_all_answered();
+        result.writes += relay.writes;
+        result.promises += relay.promises;
+        result.doubts += relay.doubts;
+        if (!relay.violations.empty()) {
+            result.violation =
+                std::to_string(seed) + ": " + relay.violations.front();
+            return result;
+        }
+    }
+    return result;
+}
+
 } // namespace
 
+TEST_CASE("relay: a process that ends answers every statement, and truly")
+{
+    const auto result = search_ends(400);
+    CHECK(result.violation == "");
+    CHECK(result.writes > 1000);
+    CHECK(result.promises > 400);
+}
+
 TEST_CASE("relay: what ran is never said not to have run, nothing runs twice")
 {
     const auto result = search(800, planted::none);
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -322,6 +322,80 @@
     CHECK(harness.closed == std::vector<session_id>{late});
 }
 
+// Requests that waited for a connection got no answer when their process ended.
+TEST_CASE("session relay: a process that ends answers what waits")
+{
+    auto harness = relay_harness();
+    harness.is_holding = true;
+    const auto reader = harness.start("reports");
+    const auto writer = harness.start("reports");
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(2000));
+    harness.ask(reader, relay_step::read, "item");
+    harness.ask(writer, relay_step::write, "item data");
+    harness.ask(writer, relay_step::write, "item data");
+    harness.pass(milliseconds(3300));
+    REQUIRE(harness.replies.contains(reader));
+    CHECK(harness.last_reply(reader).error == relay_error::retry);
+    REQUIRE(harness.replies[writer].size() == 2);
+    CHECK(harness.replies[writer][0].error == relay_error::retry);
+    CHECK(harness.replies[writer][1].error == relay_error::retry);
+    CHECK(harness.closed.size() == 2);
+    CHECK(harness.relay.session_count() == 0);
+}
+
+TEST_CASE("session relay: a process that ends says of running statements what "
+          "is certain")
+{
+    auto harness = relay_harness();
+    harness.relay.set_process_count(1);
+    const auto reader = harness.start("reports");
+    const auto writer = harness.start("reports");
+    const auto in_transaction = harness.start("reports");
+    const auto committing = harness.start("reports");
+    for (const auto& each : {in_transaction, committing}) {
+        harness.ask(each, relay_step::begin);
+        harness.ask(each, relay_step::write, "item data");
+        harness.answer_all();
+    }
+    harness.ask(reader, relay_step::read, "item");
+    harness.answer(); // The begin that only a primary accepts.
+    harness.ask(writer, relay_step::write, "item data");
+    harness.ask(in_transaction, relay_step::write, "item data");
+    harness.ask(committing, relay_step::commit);
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(5100));
+    CHECK(!harness.replies.contains(writer));
+    harness.pass(milliseconds(200));
+    CHECK(harness.last_reply(reader).error == relay_error::retry);
+    CHECK(harness.last_reply(writer).error == relay_error::in_doubt);
+    CHECK(harness.last_reply(in_transaction).error == relay_error::aborted);
+    CHECK(harness.last_reply(committing).error == relay_error::in_doubt);
+    CHECK(harness.closed.size() == 4);
+}
+
+TEST_CASE(
+    "session relay: a process that ends refuses what takes longer at once")
+{
+    auto harness = relay_harness();
+    const auto first = harness.start("reports");
+    harness.ask(first, relay_step::write, "item data");
+    harness.pass(milliseconds(2000));
+    harness.answer_all();
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(2000));
+    harness.ask(first, relay_step::write, "item data");
+    CHECK(harness.sent.size() == 1);
+    harness.pass(milliseconds(1500));
+    const auto second = harness.start("reports");
+    harness.ask(second, relay_step::write, "item data");
+    CHECK(harness.sent.size() == 1);
+    REQUIRE(harness.replies.contains(second));
+    CHECK(harness.last_reply(second).error == relay_error::retry);
+    harness.answer_all();
+    CHECK(harness.last_reply(first).is_success());
+}
+
 // Guards against processes that keep more than their share of a primary's
 // connections after a burst, so that other processes are refused.
 TEST_CASE("session relay: connections beyond the share are given back")
