state, platform: an odd entry among those of the servers names no server

Reported by other operators: an entry of another writer, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or stopped them from following it.

Could it happen here? No process ended: nesting beyond 32 levels and numbers beyond 64 bits were refused. But an entry with a port out of range was taken for a server, and as the newest claim to be primary it displaced the real one, so that writes went nowhere. A number below 0 became one of the largest: a negative `seqNo` or a `born` in the far future made every later announcement under that id an older one, and ended the record of the server at that address for good.

Change: a record is usable if its id and group are words and its address is an IPv4 address with a port from 1. Records from other processes and from the file of known servers are checked too.

The primary of `configuration node: a proxy learns a primary's position` had no address; it has one now.

--- a/include/rhubarbrun/state/server_record.hpp
+++ b/include/rhubarbrun/state/server_record.hpp
@@ -63,6 +63,10 @@
                slots == other.slots && started_at == other.started_at;
     }
 
+    /// Whether the record can name a server: its id and group are words, and
+    /// its address is an IPv4 address with a port from 1.
+    [[nodiscard]] auto is_usable() const noexcept -> bool;
+
     /// Hash of all that affects routing; equal for equivalent records.
     [[nodiscard]] auto routing_hash() const noexcept -> std::uint64_t;
 
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -93,7 +93,9 @@
     links_.listen({address, options_.peer_port});
     look_for_members();
     for (const auto& record : cache_.load()) {
-        directory_.merge(steady_now(), record);
+        if (record.is_usable()) {
+            directory_.merge(steady_now(), record);
+        }
     }
     cached_revision_ = directory_.revision();
     if (history_.newest().version > 0) {
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -542,6 +542,12 @@
 auto configuration_node::implementation::announce(const server_record& record,
                                                   bool is_shared) -> bool
 {
+    if (!record.is_usable()) {
+        log_event("server_unusable", event_severity::warning)
+            .field("server", record.id)
+            .field("address", record.address);
+        return false;
+    }
     const auto result = directory_.merge(steady_now(), record);
     if (result == server_directory::merge_result::stale) {
         return false;
--- a/src/transport/view_client.cpp
+++ b/src/transport/view_client.cpp
@@ -267,6 +267,8 @@
         }
         auto update = view_update{};
         update.servers = std::move(records->records);
+        std::erase_if(update.servers,
+                      [](const auto& each) { return !each.is_usable(); });
         hooks_.on_update(member, std::move(update));
     }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -114,6 +114,36 @@
         "i-1", replaced(announcement_text, "\"ready\"", "\"asleep\"")));
 }
 
+// An odd entry was taken for a server: with a port out of range it could claim
+// to be primary, and with a number too large it outlived every later one.
+TEST_CASE("documents: an odd entry names no server")
+{
+    const auto odd = [](const std::string& part, const std::string& other) {
+        const auto text = replaced(announcement_text, part, other);
+        REQUIRE(text != announcement_text);
+        return !parse_announcement("i-1", text, 1'800'000'000'000);
+    };
+    CHECK(parse_announcement("i-1", announcement_text, 1'800'000'000'000));
+    const auto address = std::string("10.128.0.9:8080");
+    for (const auto* const other :
+         {"127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:99999999999999999999",
+          "127.0.0.1", "localhost:80", "127.0.0.1:80\\r\\nQUERY", "[::1]:80"})
+    {
+        CHECK(odd(address, other));
+    }
+    CHECK(odd("\"capacity\":3", "\"capacity\":4294967296"));
+    CHECK(odd("\"capacity\":3", "\"capacity\":-1"));
+    CHECK(odd("\"seqNo\":4", "\"seqNo\":-1"));
+    CHECK(odd("\"seqNo\":4", "\"seqNo\":18446744073709551616"));
+    CHECK(odd("1700000000000", "-1"));
+    CHECK(odd("1700000000000", "9223372036854775807"));
+    auto nested = std::string(100'000, '[');
+    CHECK(odd("\"seqNo\":4", "\"seqNo\":4,\"x\":" + nested));
+    nested += std::string(100'000, ']');
+    CHECK(odd("\"seqNo\":4", "\"seqNo\":4,\"x\":" + nested));
+    CHECK(!parse_announcement("i-1 X", announcement_text));
+}
+
 TEST_CASE("documents: damaged bytes are refused or read, and crash nothing")
 {
     auto random = std::mt19937_64(2);
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -241,6 +241,7 @@
     auto primary = server_record{};
     primary.id = target_id("p");
     primary.group = group_id("g");
+    primary.address = "127.0.0.8:5432";
     primary.role = server_role::primary;
     primary.sequence = 1;
     auto learned = std::optional<log_position>();
@@ -270,6 +271,38 @@
     proxy.stop();
 }
 
+// An entry of another writer that cannot name a server displaced the others.
+TEST_CASE("configuration node: an odd entry among those of the servers changes "
+          "nothing")
+{
+    auto group = loopback_group();
+    auto& member = group.start("127.0.0.1", {"127.0.0.1"}, true);
+    auto primary = server_record{};
+    primary.id = target_id("i-1");
+    primary.group = group_id("g");
+    primary.address = "127.0.0.9:5432";
+    primary.role = server_role::primary;
+    primary.started_at = 1;
+    primary.sequence = 1;
+    CHECK(member.announce(primary));
+    const auto before = member.dump();
+    for (const auto* const address :
+         {"127.0.0.9:65536", "127.0.0.9:0", "127.0.0.9:-1", "127.0.0.9",
+          "127.0.0.256:5432", "127.0.0.9:5432\r\nX", "", "host:5432"})
+    {
+        auto odd = primary;
+        odd.address = address;
+        ++odd.sequence;
+        CHECK_FALSE(member.announce(odd));
+        odd.id = target_id("i-2");
+        CHECK_FALSE(member.announce(odd));
+    }
+    auto odd = primary;
+    odd.id = target_id("i 2");
+    CHECK_FALSE(member.announce(odd));
+    CHECK(member.dump() == before);
+}
+
 TEST_CASE("configuration node: a member whose disk is full goes on running, "
           "acknowledges nothing, and takes part again without a restart")
 {
