platform: a line ends with CR LF and nothing else

A server ran and acknowledged the shortened text, and ran the rest as a statement that nobody had sent.

Cause: the splitter ended a line at each line feed and took the carriage return before it as optional. The protocol's page ends a line with CR LF; a line feed alone belongs to the last field.

The test of lines in pieces fed a line that ended with a line feed alone; it now feeds the two bytes apart and expects no line in between.

--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -87,13 +87,34 @@
     lines.append("RY 1\r\nTERM");
     CHECK(*lines.next() == "QUERY 1");
     CHECK(!lines.next());
-    lines.append("INATE\n");
+    lines.append("INATE\r");
+    CHECK(!lines.next());
+    lines.append("\n");
     CHECK(is_terminate(*lines.next()));
     lines.append(std::string(longest_line + 1, 'x'));
     CHECK(!lines.next());
     CHECK(lines.is_overlong());
 }
 
+// A line feed in a caller's data ended the line: a server ran a shortened text,
+// and a statement that nobody had sent.
+TEST_CASE("wire codec: a line ends with CR LF and nothing else")
+{
+    auto lines = line_splitter();
+    lines.append("QUERY 1 WRITE item a\nQUERY 2 WRITE item b\rc\r");
+    CHECK(!lines.next());
+    lines.append("\r\nTERMINATE\r\n");
+    const auto line = lines.next();
+    REQUIRE(line);
+    const auto statement = parse_request(*line);
+    REQUIRE(statement);
+    CHECK(statement->id == "1");
+    CHECK(format_statement(*statement) ==
+          "QUERY 1 WRITE item a\nQUERY 2 WRITE item b\rc\r\r\n");
+    CHECK(is_terminate(*lines.next()));
+    CHECK(!lines.next());
+}
+
 TEST_CASE("wire codec: the state of a server's log")
 {
     const auto status = parse_log_status("replica 3 3.1209 0 12 2 17");
