platform: a call to promote leaves only while its member leads

Cause: the lease was checked before the connection was opened, not when the call left.

Change: the HTTP client asks once the connection is open, and does not send if the member has no lease by then. A call that did not leave is certain not to be carried out, so that it does not count as one without an answer.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -75,7 +75,8 @@
 enum class promotion_outcome : std::uint8_t
 {
     accepted,
-    /// The server is not running, or a later holder has given orders.
+    /// The server is not running, a later holder has given orders, or the order
+    /// was not sent.
     refused,
     /// No reply arrived; the order may still be carried out.
     unknown,
--- a/include/rhubarbrun/transport/http_client.hpp
+++ b/include/rhubarbrun/transport/http_client.hpp
@@ -18,6 +18,9 @@
     /// For connecting, sending and receiving together.
     duration total = std::chrono::seconds(10);
     std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
+    /// Asked once the connection is open, on a thread of the io_context; the
+    /// request is not sent if it returns false. Empty: it is sent.
+    std::function<bool()> may_send = {};
 };
 
 /// How one HTTP exchange ended.
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -21,10 +21,10 @@
 public:
     http_exchange(asio::io_context& context, http_request&& request,
                   std::function<void(http_result)> done,
-                  const http_client_limits& limits)
+                  http_client_limits limits)
         : stream_(asio::make_strand(context)),
           done_(std::move(done)),
-          limits_(limits)
+          limits_(std::move(limits))
     {
         request_.version(11);
         request_.method_string(request.method);
@@ -37,7 +37,7 @@
         request_.keep_alive(false);
         request_.body() = std::move(request.body);
         request_.prepare_payload();
-        parser_.body_limit(limits.body_bytes);
+        parser_.body_limit(limits_.body_bytes);
     }
 
     auto start(const asio::ip::tcp::endpoint& endpoint) -> void
@@ -50,6 +50,9 @@
             endpoint, [self = shared_from_this()](error_code error) {
                 if (error) {
                     self->finish("connect: " + error.message());
+                } else if (self->limits_.may_send && !self->limits_.may_send())
+                {
+                    self->finish("not allowed any more");
                 } else {
                     self->send();
                 }
@@ -128,7 +131,7 @@
     -> void
 {
     std::make_shared<http_exchange>(context, std::move(request),
-                                    std::move(done), limits)
+                                    std::move(done), std::move(limits))
         ->start(endpoint);
 }
 
@@ -140,7 +143,8 @@
     auto result = http_result{};
     http_send(
         context, endpoint, std::move(request),
-        [&](http_result received) { result = std::move(received); }, limits);
+        [&](http_result received) { result = std::move(received); },
+        std::move(limits));
     context.run();
     return result;
 }
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -169,6 +169,26 @@
     CHECK(late.may_have_been_sent);
 }
 
+// A member that was suspended while it connected sent its call after another
+// member had led.
+TEST_CASE("the client asks before it sends on an open connection")
+{
+    auto context = asio::io_context();
+    auto silent = asio::ip::tcp::acceptor(context, any_port());
+    auto limits = http_client_limits{};
+    limits.may_send = [] {
+        return false;
+    };
+    const auto kept = http_send_and_wait(silent.local_endpoint(), {}, limits);
+    CHECK_FALSE(kept.response);
+    CHECK_FALSE(kept.may_have_been_sent);
+    auto socket = silent.accept();
+    auto byte = char{};
+    auto error = error_code();
+    CHECK(socket.read_some(asio::buffer(&byte, 1), error) == 0);
+    CHECK(error == asio::error::eof);
+}
+
 TEST_CASE("JSON text is printed and parsed")
 {
     const auto value = json_value(json_value::object{
