coordination: the name of a prepared statement at a server is one word

Cause: a shape with a blank or a line feed became part of the name that sessions share at a server, which then read another name and shifted fields; EXECUTE could run another shape.

Change: a shape that is no word is spelled out in hexadecimal, with a prefix of its own.

--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -29,10 +29,24 @@
 constexpr auto outage_retry_delay = milliseconds(1000);
 
 /// Name of a prepared statement at a server; all sessions share the statements
-/// of the same shape.
+/// of the same shape. A shape that is no word is spelled out in hexadecimal.
 auto shared_name(bool is_read, const std::string& shape) -> std::string
 {
-    return (is_read ? "r_" : "w_") + shape;
+    constexpr auto digits = std::string_view("0123456789abcdef");
+    const auto is_word = std::all_of(shape.begin(), shape.end(), [](char each) {
+        return static_cast<unsigned char>(each) > ' ';
+    });
+    auto name = std::string(is_read ? "r" : "w");
+    if (is_word) {
+        return name + '_' + shape;
+    }
+    name += "x_";
+    for (const auto letter : shape) {
+        const auto byte = static_cast<unsigned char>(letter);
+        name += digits[byte >> 4U];
+        name += digits[byte & 0xfU];
+    }
+    return name;
 }
 
 } // namespace
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -322,6 +322,25 @@
     CHECK(harness.closed == std::vector<session_id>{late});
 }
 
+// A blank in a shape became part of the name at the server, which then read
+// another name and other fields.
+TEST_CASE("session relay: the name at the server is one word for every shape")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    auto names = std::set<std::string>();
+    for (const auto* const shape : {"a", "a b", "a\nb", " ", "x_6120"}) {
+        harness.ask(caller, relay_step::prepare, shape, "s");
+        harness.ask(caller, relay_step::execute, "item data", "s");
+        REQUIRE(!harness.sent.empty());
+        const auto name = harness.sent.back().statement.name;
+        CHECK(name.find_first_of(" \n") == std::string::npos);
+        CHECK(names.insert(name).second);
+        harness.answer_all();
+        CHECK(harness.last_reply(caller).is_success());
+    }
+}
+
 // Requests that waited for a connection got no answer when their process ended.
 TEST_CASE("session relay: a process that ends answers what waits")
 {
