coordination: an entry of an unknown service ends no server

Cause: an entry with the address of a server and a later start marked that server as gone, whatever service it named, and one with its id moved its record to another group.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -139,6 +139,12 @@
     /// ignored.
     auto supervise(const group_id& group, std::uint32_t count) -> void;
 
+    /// Whether the group is supervised, or none is yet.
+    [[nodiscard]] auto may_know(const group_id& group) const -> bool
+    {
+        return groups_.empty() || groups_.contains(group);
+    }
+
     auto tick(time_point now, const server_directory& directory) -> void;
 
 private:
--- a/include/rhubarbrun/coordination/server_directory.hpp
+++ b/include/rhubarbrun/coordination/server_directory.hpp
@@ -41,8 +41,10 @@
     };
 
     /// Merges one announcement. A server that started later at the same address
-    /// marks the records of earlier servers there as gone.
-    auto merge(time_point now, const server_record& record) -> merge_result;
+    /// marks the records of earlier servers there as gone, unless it belongs to
+    /// a group that nobody knows.
+    auto merge(time_point now, const server_record& record,
+               bool is_group_known = true) -> merge_result;
 
     /// Marks a server that announced its end as gone. Returns the final record,
     /// or null if the server is unknown.
--- a/src/coordination/server_directory.cpp
+++ b/src/coordination/server_directory.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-auto server_directory::merge(time_point now, const server_record& record)
-    -> merge_result
+auto server_directory::merge(time_point now, const server_record& record,
+                             bool is_group_known) -> merge_result
 {
     auto& known = entries_[record.id];
     const auto is_first = known.record.id.is_empty();
@@ -38,7 +38,7 @@
     by_group_[record.group].insert(record.id);
     by_address_[record.address].insert(record.id);
     mark_changed(known);
-    if (record.state != server_availability::gone) {
+    if (record.state != server_availability::gone && is_group_known) {
         end_others_at_address(now, record);
     }
     return merge_result::changed;
--- a/tests/coordination/server_directory_test.cpp
+++ b/tests/coordination/server_directory_test.cpp
@@ -78,6 +78,23 @@
           server_availability::gone);
 }
 
+// An entry of an unknown service with the address of a server ended it.
+TEST_CASE("server directory: a server of an unknown group ends no other")
+{
+    auto directory = server_directory();
+    directory.merge(now, record("a", 10, 5));
+    auto stranger = record("b", 20, 1);
+    stranger.address = "a:1";
+    stranger.group = group_id("unknown");
+    directory.merge(now, stranger, false);
+    CHECK(directory.find(target_id("a"))->record.state ==
+          server_availability::ready);
+    stranger.id = target_id("c");
+    directory.merge(now, stranger, true);
+    CHECK(directory.find(target_id("a"))->record.state ==
+          server_availability::gone);
+}
+
 TEST_CASE("server directory: all processes converge to the same records, "
           "independent of the order of announcements")
 {
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -301,6 +301,16 @@
     odd.id = target_id("i 2");
     CHECK_FALSE(member.announce(odd));
     CHECK(member.dump() == before);
+    member.supervise(group_id("g"), 0);
+    odd = primary;
+    odd.group = group_id("unknown");
+    odd.started_at = 2;
+    CHECK_FALSE(member.announce(odd));
+    odd.id = target_id("i-2");
+    member.announce(odd);
+    INFO("the record of i-1 is not ended");
+    ++primary.sequence;
+    CHECK(member.announce(primary));
 }
 
 TEST_CASE("configuration node: a member whose disk is full goes on running, "
