--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -114,7 +114,9 @@
 /// receives nothing from it and no proxy gets replies from it, or if it shuts
 /// down. The successor is the replica that received most of the log. A primary
 /// that shuts down first stops accepting commits, so that its successor can
-/// hold all of them.
+/// hold all of them. With synchronous replicas, all replicas are paused before
+/// an unplanned change, so that no commit can be acknowledged after their
+/// positions were reported. docs/platform.md lists the steps.
 class primary_supervisor
 {
 public:
