coordination: paused replicas receive again after every promotion

The leader changed in the middle of the planned change, its successor paused all replicas and promoted one, and from then on every write timed out.

Cause: it was taken for granted that a promotion ends the pause of all replicas. It ends that of the promoted server; whether it ends the others' is not stated, and a server need not report that it is paused.

Change: after a promotion the other replicas are told to receive again, and once more if there is no reply. The harness keeps them paused until then.

Evidence: `promotion: the other replicas receive again` fails without the change: no write was acknowledged for the rest of its 8 s.

--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -257,6 +257,9 @@
         const auto call = found->second;
         group.calls.erase(found);
         if (!status) {
+            if (call.order == server_order::resume) {
+                group.paused.insert(call.server);
+            }
             return;
         }
         const auto is_progress =
@@ -530,9 +533,7 @@
         known.stage = phase::settling;
         known.since = now;
         known.next_patrol = now;
-        if (known.candidate != known.primary) {
-            known.paused.clear();
-        } else if (!known.paused.empty()) {
+        if (known.candidate == known.primary && !known.paused.empty()) {
             // An order that was accepted before may not have taken effect yet.
             known.not_before = now + confirmation_delay;
         }
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -299,7 +299,7 @@
     status.role = each.is_primary ? server_role::primary : server_role::replica;
     status.newest = term(each.newest);
     status.received = {term(each.newest), log_offset(each.log.size())};
-    status.paused_by = term(each.paused_by);
+    status.paused_by = term(is_pause_hidden ? 0 : each.paused_by);
     return status;
 }
 
@@ -363,9 +363,10 @@
     last_primary_ = candidate;
     note(candidate + " leads, lost=" + std::to_string(lost));
     leading->newest = newest + 1;
+    // Whether a promotion ends the pauses of the others is not stated.
+    leading->paused_by = 0;
     for (auto& each : servers) {
         each.is_primary = &each == leading;
-        each.paused_by = 0;
         // A log that branches off or is longer is rolled back.
         const auto branch =
             std::mismatch(each.log.begin(), each.log.end(),
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -83,6 +83,9 @@
     /// An injected fault: servers confirm orders to pause and go on receiving.
     bool is_pause_ignored = false;
 
+    /// Servers do not report that they are paused.
+    bool is_pause_hidden = false;
+
     /// Acknowledged commits that a promoted server lacked.
     std::size_t lost = 0;
     std::size_t acknowledged = 0;
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -284,6 +284,23 @@
     CHECK(group.is_accepting());
 }
 
+// After a promotion the other replica stayed paused, so that no write was
+// acknowledged any more.
+TEST_CASE("promotion: the other replicas receive again")
+{
+    auto group = promotion_harness();
+    group.is_pause_hidden = true;
+    group.run(seconds(3));
+    group.are_orders_late = true;
+    group.crash(group.servers[0], seconds(20));
+    group.run(seconds(8));
+    CHECK(group.lost == 0);
+    CHECK(!group.promoted.empty());
+    CHECK(group.is_accepting());
+    // Pausing takes 0.5 s, the time of an order without a reply.
+    CHECK(group.longest_gap < seconds(3));
+}
+
 TEST_CASE("promotion: a primary steps down only for a replica that receives")
 {
     auto group = promotion_harness();
