tests: an odd entry is compared with the known server, not with a dump

The dump states how many milliseconds ago a server was heard of, so that the comparison of two dumps failed where the machine was slow: once each under AddressSanitizer and ThreadSanitizer, beside load. The test now checks that the one known server is there with its id, group, role and state.

--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -285,7 +285,6 @@
     primary.started_at = 1;
     primary.sequence = 1;
     CHECK(member.announce(primary));
-    const auto before = member.dump();
     for (const auto* const address :
          {"127.0.0.9:65536", "127.0.0.9:0", "127.0.0.9:-1", "127.0.0.9",
           "127.0.0.256:5432", "127.0.0.9:5432\r\nX", "", "host:5432"})
@@ -300,7 +299,14 @@
     auto odd = primary;
     odd.id = target_id("i 2");
     CHECK_FALSE(member.announce(odd));
-    CHECK(member.dump() == before);
+    const auto state = parse_json(member.dump());
+    REQUIRE(state);
+    const auto& known = (*state)["servers"].elements();
+    REQUIRE(known.size() == 1);
+    CHECK(known[0]["id"].text() == "i-1");
+    CHECK(known[0]["group"].text() == "g");
+    CHECK(known[0]["primary"].truth());
+    CHECK(known[0]["state"].number() == 0);
     member.supervise(group_id("g"), 0);
     odd = primary;
     odd.group = group_id("unknown");
