coordination: as many logs may be missing as there are synchronous replicas

Seen in virtual time: a primary stepped down, the call to promote its successor was lost, and the former primary crashed: the group stayed without a primary for as long as that one was away, as a silent server postponed every promotion.

Cause: every log had to be known. What was acknowledged is on one server more than there are synchronous replicas, so that as many may be missing, whatever the reason: silent, not paused, or gone without a successor.

Change: the missing logs are counted in one place; the exception for the former primary is gone.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -291,14 +291,24 @@
     best_ready_replica(const supervised_group& group,
                        const server_directory& directory)
         -> std::optional<target_id>;
-    /// A server that left a short while ago and may hold more than `reached`,
-    /// and whose successor has not announced itself.
-    [[nodiscard]] static auto departed_holder(time_point now,
-                                              const group_id& id,
-                                              const supervised_group& group,
-                                              const server_directory& directory,
-                                              const log_position& reached)
-        -> std::optional<target_id>;
+    /// Servers whose logs are not known for certain: the primary, those without
+    /// `has_reported`, and those that left a short while ago, may hold more
+    /// than `reached`, and whose successor has not announced itself. What was
+    /// acknowledged is on more servers than there are synchronous replicas, so
+    /// that it is known if no more than that many are missing.
+    [[nodiscard]] static auto
+    missing_logs(time_point now, const group_id& id,
+                 const supervised_group& group,
+                 const server_directory& directory, const log_position& reached,
+                 const std::function<bool(const server_record&)>& has_reported)
+        -> std::vector<target_id>;
+    /// Whether the server left without a successor that has its log.
+    [[nodiscard]] static auto
+    has_departed(time_point now, const group_id& id,
+                 const supervised_group& group,
+                 const server_directory& directory,
+                 const server_directory::entry& server,
+                 const log_position& reached) -> bool;
     [[nodiscard]] static auto newest_term(const supervised_group& group)
         -> term;
     [[nodiscard]] static auto has_confirmed(const supervised_group& group,
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -417,7 +417,7 @@
     }
     if (group.is_confirming) {
         confirm_primary(now, id, group, directory);
-    } else if (group.is_planned && group.statuses.contains(group.primary)) {
+    } else if (group.statuses.contains(group.primary)) {
         plan_hand_over(now, id, group, directory);
     } else {
         replace_lost_primary(now, id, group, directory);
@@ -448,8 +448,9 @@
     }
     const auto goal = group.earlier_position.value_or(primary.received);
     group.earlier_position = primary.received;
-    const auto is_late = group.synchronous_replicas == 0 &&
-                         now - *group.planned_since > keep_up_timeout;
+    const auto is_late =
+        group.synchronous_replicas == 0 &&
+        now - group.planned_since.value_or(now) > keep_up_timeout;
     if (group.statuses.at(*best).received < goal && !is_late) {
         // Until one does, the primary serves better than nobody.
         postpone(now, id, group, *best, "no ready replica keeps up",
@@ -497,14 +498,14 @@
                  "an order to receive again is under way", milliseconds(50));
         return;
     }
-    for (const auto* const server : others(id, group, directory)) {
-        if (!group.statuses.contains(server->id)) {
-            // It may be the only one that holds a commit.
-            postpone(now, id, group, server->id,
-                     "a replica did not report its position",
-                     milliseconds(200));
-            return;
-        }
+    const auto missing = missing_logs(
+        now, id, group, directory, group.statuses.at(*best).received,
+        [&](const auto& each) { return group.statuses.contains(each.id); });
+    if (missing.size() > group.synchronous_replicas) {
+        // They may be the only ones that hold a commit.
+        postpone(now, id, group, missing.back(),
+                 "too few servers reported their logs", milliseconds(200));
+        return;
     }
     group.stage = phase::pausing;
     group.since = now;
--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -1,6 +1,7 @@
 #include <rhubarbrun/coordination/primary_supervisor.hpp>
 
 #include <algorithm>
+#include <functional>
 
 namespace rhubarbrun::inline v1 {
 
@@ -36,31 +37,19 @@
         return;
     }
     const auto replicas = others(id, group, directory);
-    const auto open =
-        std::find_if(replicas.begin(), replicas.end(), [&](const auto* each) {
-            return !has_confirmed(group, *each);
-        });
-    if (open == replicas.end()) {
-        const auto best = best_replica(group, directory);
-        const auto departed =
-            best ? departed_holder(now, id, group, directory,
-                                   group.statuses.at(*best).received)
-                 : std::nullopt;
-        if (best && !departed) {
+    if (const auto best = best_replica(group, directory)) {
+        const auto missing = missing_logs(
+            now, id, group, directory, group.statuses.at(*best).received,
+            [&](const auto& each) { return has_confirmed(group, each); });
+        if (missing.size() <= group.synchronous_replicas) {
             promote(now, id, group, *best);
             return;
         }
         if (now - group.since > pause_timeout) {
-            postpone(now, id, group, departed.value_or(group.primary),
-                     "a server left whose log has not returned",
-                     milliseconds(200));
+            postpone(now, id, group, missing.back(),
+                     "too few servers confirmed their logs", milliseconds(200));
+            return;
         }
-        return;
-    }
-    if (now - group.since > pause_timeout) {
-        postpone(now, id, group, (*open)->id, "a replica was not paused",
-                 milliseconds(200));
-        return;
     }
     auto receiving = std::vector<const server_record*>();
     for (const auto* const each : replicas) {
@@ -158,9 +147,13 @@
             return has_confirmed(group, *each);
         });
     // What was acknowledged is held by the former primary and another server.
-    const auto is_safe = are_known && best && is_ready(directory, *best) &&
-                         !departed_holder(now, id, group, directory,
-                                          group.statuses.at(*best).received);
+    const auto is_safe =
+        are_known && best && is_ready(directory, *best) &&
+        missing_logs(
+            now, id, group, directory, group.statuses.at(*best).received,
+            [&](const auto& each) {
+                return has_confirmed(group, each);
+            }).size() <= group.synchronous_replicas;
     if (!is_safe) {
         hooks_.log("lead_returned", id, group.primary,
                    "no ready replica holds what may be acknowledged");
@@ -168,35 +161,48 @@
     promote(now, id, group, is_safe ? *best : group.primary);
 }
 
-auto primary_supervisor::departed_holder(time_point now, const group_id& id,
-                                         const supervised_group& group,
-                                         const server_directory& directory,
-                                         const log_position& reached)
-    -> std::optional<target_id>
+auto primary_supervisor::has_departed(time_point now, const group_id& id,
+                                      const supervised_group& group,
+                                      const server_directory& directory,
+                                      const server_directory::entry& server,
+                                      const log_position& reached) -> bool
 {
+    const auto& record = server.record;
+    if (record.state != server_availability::gone ||
+        now - server.heard_at > succession_timeout)
+    {
+        return false;
+    }
+    const auto bound = group.bounds_of_departed.find(record.id);
+    if (bound != group.bounds_of_departed.end() && reached >= bound->second) {
+        return false;
+    }
     const auto servers = directory.servers_of(id);
-    for (const auto* const departed : servers) {
-        const auto& record = departed->record;
-        if (record.state != server_availability::gone ||
-            record.id == group.former ||
-            now - departed->heard_at > succession_timeout)
-        {
-            continue;
-        }
-        const auto bound = group.bounds_of_departed.find(record.id);
-        const auto is_held =
-            bound != group.bounds_of_departed.end() && reached >= bound->second;
-        const auto has_successor =
-            std::any_of(servers.begin(), servers.end(), [&](const auto* each) {
-                return each->record.state != server_availability::gone &&
-                       each->record.address == record.address &&
-                       each->record.started_at > record.started_at;
-            });
-        if (!is_held && !has_successor) {
-            return record.id;
+    return std::none_of(servers.begin(), servers.end(), [&](const auto* each) {
+        return each->record.state != server_availability::gone &&
+               each->record.address == record.address &&
+               each->record.started_at > record.started_at;
+    });
+}
+
+auto primary_supervisor::missing_logs(
+    time_point now, const group_id& id, const supervised_group& group,
+    const server_directory& directory, const log_position& reached,
+    const std::function<bool(const server_record&)>& has_reported)
+    -> std::vector<target_id>
+{
+    auto missing = std::vector<target_id>();
+    for (const auto* const each : directory.servers_of(id)) {
+        const auto& record = each->record;
+        const auto is_missing =
+            record.state == server_availability::gone
+                ? has_departed(now, id, group, directory, *each, reached)
+                : record.id == group.primary || !has_reported(record);
+        if (is_missing) {
+            missing.push_back(record.id);
         }
     }
-    return std::nullopt;
+    return missing;
 }
 
 auto primary_supervisor::restore(time_point now, const group_id& id,
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -314,6 +314,10 @@
             }
         });
     };
+    if (std::exchange(is_promotion_lost, false)) {
+        reply(promotion_timeout, promotion_outcome::unknown);
+        return;
+    }
     if (std::exchange(is_promotion_late, false)) {
         reply(promotion_timeout, promotion_outcome::unknown);
         later(order_delay, [this, candidate, token] {
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -80,6 +80,8 @@
     bool are_orders_late = false;
     /// The next call to promote gets no reply and is carried out 5 s later.
     bool is_promotion_late = false;
+    /// The next call to promote gets no reply and is never carried out.
+    bool is_promotion_lost = false;
     /// An injected fault: servers confirm orders to pause and go on receiving.
     bool is_pause_ignored = false;
 
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -270,6 +270,23 @@
     CHECK(group.longest_gap < seconds(6));
 }
 
+// A group stayed without a primary: before each attempt the leader asked a
+// primary that was gone for good whether it still led.
+TEST_CASE("promotion: a lost call does not keep a group without a primary")
+{
+    for (const auto count : {0U, 1U}) {
+        auto group = promotion_harness(count);
+        group.run(seconds(3));
+        group.is_promotion_lost = true;
+        group.release(group.servers[0]);
+        group.run(milliseconds(400));
+        group.crash(group.servers[0], seconds(60));
+        group.run(seconds(6));
+        CHECK(group.lost == 0);
+        CHECK(group.is_accepting());
+    }
+}
+
 TEST_CASE("promotion: replicas that an earlier leader paused are resumed")
 {
     auto group = promotion_harness();
