--- a/include/rhubarbrun/coordination/server_directory.hpp
+++ b/include/rhubarbrun/coordination/server_directory.hpp
@@ -41,8 +41,8 @@
     };
 
     /// Merges one announcement. A server that started later at the same address
-    /// marks the records of earlier servers there as gone, unless it belongs to
-    /// a group that nobody knows.
+    /// marks the records of earlier servers there as gone. One of a group that
+    /// is not known neither does that nor takes a record over.
     auto merge(time_point now, const server_record& record,
                bool is_group_known = true) -> merge_result;
 
--- a/src/coordination/server_directory.cpp
+++ b/src/coordination/server_directory.cpp
@@ -14,6 +14,12 @@
 auto server_directory::merge(time_point now, const server_record& record,
                              bool is_group_known) -> merge_result
 {
+    const auto* const earlier = find(record.id);
+    if (!is_group_known && earlier != nullptr &&
+        earlier->record.group != record.group)
+    {
+        return merge_result::stale;
+    }
     auto& known = entries_[record.id];
     const auto is_first = known.record.id.is_empty();
     if (!is_first && !record.is_newer_than(known.record)) {
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -93,9 +93,7 @@
     links_.listen({address, options_.peer_port});
     look_for_members();
     for (const auto& record : cache_.load()) {
-        if (record.is_usable()) {
-            directory_.merge(steady_now(), record);
-        }
+        directory_.merge(steady_now(), record);
     }
     cached_revision_ = directory_.revision();
     if (history_.newest().version > 0) {
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -548,13 +548,8 @@
             .field("address", record.address);
         return false;
     }
-    const auto is_group_known = supervisor_.may_know(record.group);
-    const auto* const known = directory_.find(record.id);
-    if (!is_group_known && known != nullptr &&
-        known->record.group != record.group) {
-        return false;
-    }
-    const auto result = directory_.merge(steady_now(), record, is_group_known);
+    const auto result = directory_.merge(steady_now(), record,
+                                         supervisor_.may_know(record.group));
     if (result == server_directory::merge_result::stale) {
         return false;
     }
--- a/src/transport/server_cache.cpp
+++ b/src/transport/server_cache.cpp
@@ -24,13 +24,15 @@
         return {};
     }
     const auto bytes = std::string(std::istreambuf_iterator<char>(input), {});
-    const auto saved = decode<server_announcements>(bytes);
+    auto saved = decode<server_announcements>(bytes);
     if (!saved) {
         log_event("server_cache_damaged", event_severity::warning)
             .field("bytes", bytes.size());
         return {};
     }
-    return saved->records;
+    std::erase_if(saved->records,
+                  [](const auto& each) { return !each.is_usable(); });
+    return std::move(saved->records);
 }
 
 auto server_cache::save(const std::vector<server_record>& records) -> bool
--- a/tests/coordination/server_directory_test.cpp
+++ b/tests/coordination/server_directory_test.cpp
@@ -89,6 +89,10 @@
     directory.merge(now, stranger, false);
     CHECK(directory.find(target_id("a"))->record.state ==
           server_availability::ready);
+    stranger.id = target_id("a");
+    CHECK(directory.merge(now, stranger, false) ==
+          server_directory::merge_result::stale);
+    CHECK(directory.find(target_id("a"))->record.group == group_id("g"));
     stranger.id = target_id("c");
     directory.merge(now, stranger, true);
     CHECK(directory.find(target_id("a"))->record.state ==
--- a/tests/transport/server_cache_test.cpp
+++ b/tests/transport/server_cache_test.cpp
@@ -45,6 +45,17 @@
     CHECK(cache.load().empty());
 }
 
+// Guards against machines that end again and again on what they saved.
+TEST_CASE("server cache: a record that cannot name a server is left out")
+{
+    const auto directory = temporary_directory();
+    auto cache = server_cache(directory.path / "view" / "servers");
+    auto odd = record("b");
+    odd.address = "127.0.0.1:65536";
+    CHECK(cache.save({record("a"), odd, record("c")}));
+    CHECK(cache.load().size() == 2);
+}
+
 TEST_CASE("server cache: a full disk keeps the former file and harms nothing")
 {
     const auto directory = temporary_directory();
