--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -158,8 +158,9 @@
     /// soon as this is known, and one that is still at a server at the end
     /// according to what is certain about it.
     auto drain(time_point now, duration grace) -> void;
-    /// Time that the last replies have to leave before `grace` is over.
-    static constexpr auto last_reply_margin = milliseconds(800);
+    /// When every statement is answered at the latest; only while shutting
+    /// down.
+    [[nodiscard]] auto last_reply_at() const -> time_point;
 
     /// Handles due work; returns when to call again.
     auto tick(time_point now) -> time_point;
@@ -390,8 +391,6 @@
     auto tick_drain(time_point now) -> void;
     /// Answers the statement that a session still has when the process ends.
     auto answer_at_end(time_point now, session& caller) -> void;
-    /// When every statement must be answered; only while shutting down.
-    [[nodiscard]] auto last_reply_at() const -> time_point;
     /// Whether the process ends before the statement could be served.
     [[nodiscard]] auto ends_before_service(time_point now,
                                            const session& caller) const -> bool;
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -249,11 +249,13 @@
     const auto is_overloaded =
         waited > current.route.route->latency_objective / 2 &&
         pool_.is_full(now, need);
-    if (!is_outage && !is_out_of_connections && !is_overloaded &&
-        !ends_before_service(now, caller))
-    {
+    const auto is_ending = ends_before_service(now, caller);
+    if (!is_outage && !is_out_of_connections && !is_overloaded && !is_ending) {
         return false;
     }
+    if (is_ending) {
+        log(now, "ends_before_service", caller, {}, relay_error::retry);
+    }
     refuse(now, caller);
     return true;
 }
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -19,6 +19,8 @@
 /// A session without requests for this long is unlikely to have one in transit,
 /// so that it can be closed.
 constexpr auto min_quiet_time = milliseconds(500);
+/// Time that the last replies of a shutdown have to leave before its end.
+constexpr auto last_reply_margin = milliseconds(800);
 
 } // namespace
 
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -363,6 +363,23 @@
     CHECK(harness.relay.session_count() == 0);
 }
 
+// Each answer started the next statement from within, so that a long queue
+// exhausted the stack.
+TEST_CASE("session relay: a long queue is answered at the end")
+{
+    constexpr auto count = std::size_t{50'000};
+    auto harness = relay_harness();
+    harness.is_holding = true;
+    const auto caller = harness.start("reports");
+    for (auto number = std::size_t{0}; number < count; ++number) {
+        harness.ask(caller, relay_step::write, "item data");
+    }
+    harness.relay.drain(harness.now, milliseconds(6000));
+    harness.pass(milliseconds(5300));
+    CHECK(harness.replies[caller].size() == count);
+    CHECK(harness.last_reply(caller).error == relay_error::retry);
+}
+
 TEST_CASE("session relay: a process that ends says of running statements what "
           "is certain")
 {
