tests: the pause before a planned change of a silent primary is needed

The test would have passed without it, as the near replica held everything; all positions are equal now when the primary is cut off. Words of the faults.

--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -13,7 +13,7 @@
 
 using std::chrono::seconds;
 
-enum class trouble : std::uint8_t
+enum class fault : std::uint8_t
 {
     none,
     crash_primary,
@@ -33,56 +33,56 @@
     /// The caller does not write, so that all positions become equal.
     rest,
 };
-constexpr auto trouble_count = std::size_t{14};
+constexpr auto fault_count = std::size_t{14};
 /// All servers are back, and late orders are carried out.
 constexpr auto calm_length = seconds(25);
 
-auto apply(promotion_harness& group, trouble what) -> void
+auto apply(promotion_harness& group, fault what) -> void
 {
     auto* const leading = group.primary();
     switch (what) {
-    case trouble::none:
+    case fault::none:
         break;
-    case trouble::crash_primary:
-    case trouble::crash_primary_briefly:
+    case fault::crash_primary:
+    case fault::crash_primary_briefly:
         if (leading != nullptr) {
-            group.crash(*leading, what == trouble::crash_primary
+            group.crash(*leading, what == fault::crash_primary
                                       ? duration(seconds(6))
                                       : duration(milliseconds(1500)));
         }
         break;
-    case trouble::crash_replica:
+    case fault::crash_replica:
         group.crash(group.servers[1], seconds(3));
         break;
-    case trouble::deafen_near_replica:
+    case fault::deafen_near_replica:
         group.deafen(group.servers[2], seconds(5));
         break;
-    case trouble::deafen_far_replica:
+    case fault::deafen_far_replica:
         group.deafen(group.servers[1], seconds(5));
         break;
-    case trouble::release_primary:
+    case fault::release_primary:
         if (leading != nullptr) {
             group.release(*leading);
         }
         break;
-    case trouble::release_near_replica:
+    case fault::release_near_replica:
         group.release(group.servers[2]);
         break;
-    case trouble::change_leader:
+    case fault::change_leader:
         group.change_leader();
         break;
-    case trouble::late_orders:
+    case fault::late_orders:
         group.are_orders_late = true;
         group.later(seconds(4), [&group] { group.are_orders_late = false; });
         break;
-    case trouble::late_promotion:
+    case fault::late_promotion:
         group.is_promotion_late = true;
         break;
-    case trouble::cut_primary_from_control:
-    case trouble::hide_primary:
+    case fault::cut_primary_from_control:
+    case fault::hide_primary:
         if (leading != nullptr) {
             leading->is_cut = true;
-            leading->is_hidden = what == trouble::hide_primary;
+            leading->is_hidden = what == fault::hide_primary;
             group.later(seconds(4), [&group] {
                 for (auto& each : group.servers) {
                     each.is_cut = false;
@@ -91,7 +91,7 @@
             });
         }
         break;
-    case trouble::rest:
+    case fault::rest:
         group.is_writing = false;
         group.later(seconds(2), [&group] { group.is_writing = true; });
         break;
@@ -115,14 +115,14 @@
 struct search_settings
 {
     std::size_t depth = 3;
-    /// Time from one trouble to the next.
+    /// Time from one fault to the next.
     duration phase_length = milliseconds(900);
     duration far_distance = milliseconds(70);
     std::uint32_t synchronous_replicas = 1;
     bool is_pause_ignored = false;
 };
 
-/// Plays the history whose troubles are the digits of `number`.
+/// Plays the history whose faults are the digits of `number`.
 auto play(promotion_harness& group, std::size_t number,
           const search_settings& settings) -> void
 {
@@ -130,20 +130,20 @@
     group.servers[1].distance = settings.far_distance;
     group.run(seconds(3));
     for (auto level = std::size_t{0}; level < settings.depth; ++level) {
-        apply(group, static_cast<trouble>(number % trouble_count));
-        number /= trouble_count;
+        apply(group, static_cast<fault>(number % fault_count));
+        number /= fault_count;
         group.run(settings.phase_length);
     }
     group.run(calm_length);
 }
 
-/// Plays every history of `depth` troubles.
+/// Plays every history of `depth` faults.
 auto search(const search_settings& settings) -> search_result
 {
     auto result = search_result{};
     auto count = std::size_t{1};
     for (auto level = std::size_t{0}; level < settings.depth; ++level) {
-        count *= trouble_count;
+        count *= fault_count;
     }
     for (auto number = std::size_t{0}; number < count; ++number) {
         auto group = promotion_harness(settings.synchronous_replicas);
@@ -242,9 +242,12 @@
 {
     auto group = promotion_harness();
     group.run(seconds(3));
+    group.is_writing = false;
+    group.run(milliseconds(200));
     group.release(group.servers[0]);
     group.run(milliseconds(60));
     group.servers[0].is_cut = true;
+    group.is_writing = true;
     group.run(seconds(5));
     CHECK(group.lost == 0);
     CHECK(group.step_downs == 0);
@@ -335,7 +338,7 @@
 TEST_CASE("promotion search: no acknowledged commit is lost, and writes go on")
 {
     auto settings = search_settings{};
-    SUBCASE("troubles soon after each other")
+    SUBCASE("faults soon after each other")
     {
         settings.phase_length = milliseconds(280);
     }
