--- a/tests/platform/proxy_adapter_test.cpp
+++ b/tests/platform/proxy_adapter_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <cstdint>
 #include <filesystem>
 #include <memory>
@@ -97,6 +98,30 @@
         return answer;
     }
 
+    /// The answer to a session that starts shortly before the proxy would end
+    /// without sessions; empty if it ended without one.
+    auto start_session_at_end(const std::string& database) -> std::string
+    {
+        auto is_drained = false;
+        proxy_.drain([&] { is_drained = true; });
+        run(settings("127.0.0.2").shutdown_grace / 2 -
+            std::chrono::milliseconds(400));
+        auto socket = asio::ip::tcp::socket(context_);
+        socket.connect({asio::ip::make_address("127.0.0.2"), ports_.at(2)});
+        asio::write(socket,
+                    asio::buffer("STARTUP " + database + " caller\r\n"));
+        const auto end = steady_now() + std::chrono::seconds(20);
+        while (!is_drained && steady_now() < end) {
+            context_.run_for(std::chrono::milliseconds(5));
+        }
+        REQUIRE(is_drained);
+        auto answer = std::array<char, 256>();
+        auto error = error_code();
+        socket.non_blocking(true);
+        const auto size = socket.read_some(asio::buffer(answer), error);
+        return {answer.data(), size};
+    }
+
     /// Sends bytes to a port and closes the connection some time later.
     auto send_bytes(const std::string& address, std::size_t port,
                     const std::string& bytes) -> void
@@ -172,6 +197,13 @@
 }
 
 // One malformed message must not take the process down, at any port.
+// A session that waited for a configuration got no answer when its proxy ended.
+TEST_CASE("proxy adapter: a session that waits is answered before the end")
+{
+    auto deployment = small_deployment();
+    CHECK(deployment.start_session_at_end("db1").starts_with("ERROR RETRY"));
+}
+
 TEST_CASE("proxy adapter and control adapter: bytes of strangers harm nobody")
 {
     auto deployment = small_deployment();
