--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -100,11 +100,9 @@
         return;
     }
     if (group.confirmed.erase(group.primary) > 0) {
-        // States from before that moment say nothing about its last commits.
+        // The time to catch up begins.
         group.since = now;
         group.progress_at = now;
-        group.calls.clear();
-        group.confirmed.clear();
     }
     const auto best = best_ready_replica(group, directory);
     if (best && group.statuses.at(*best).received >= former->second.received) {
--- a/tests/coordination/primary_supervisor_test.cpp
+++ b/tests/coordination/primary_supervisor_test.cpp
@@ -55,10 +55,13 @@
         }
     }
 
+    /// Replies to all open calls to the server.
     auto tell(const std::string& server, std::uint64_t received,
-              server_role role = server_role::replica) -> void
+              server_role role = server_role::replica,
+              std::uint64_t paused_by = 0) -> void
     {
         auto status = server_log_status{};
+        status.paused_by = term(paused_by);
         status.role = role;
         status.newest = term(1);
         status.received = {term(1), log_offset(received)};
@@ -67,6 +70,27 @@
         }
     }
 
+    /// Replies to the oldest open call to the server.
+    auto tell_oldest(const std::string& server, std::uint64_t received) -> void
+    {
+        auto& open = open_.at(server);
+        auto later = std::vector(open.begin() + 1, open.end());
+        open.resize(1);
+        tell(server, received);
+        open_[server] = std::move(later);
+    }
+
+    /// Replies to the newest open call to the server.
+    auto tell_last(const std::string& server, std::uint64_t received) -> void
+    {
+        auto earlier = open_.at(server);
+        auto last = std::vector{earlier.back()};
+        earlier.pop_back();
+        open_[server] = std::move(last);
+        tell(server, received);
+        open_[server] = std::move(earlier);
+    }
+
     auto sight(const std::string& proxy, bool is_answering) -> void
     {
         auto sighting = server_sighting{};
@@ -83,6 +107,8 @@
     server_directory directory;
     std::vector<std::string> asked;
     std::vector<std::string> stepped_down;
+    std::vector<std::string> paused;
+    std::vector<std::string> resumed;
     std::vector<std::string> promoted;
     primary_supervisor supervisor;
 
@@ -97,6 +123,10 @@
                 asked.push_back(server);
             } else if (call.order == server_order::step_down) {
                 stepped_down.push_back(server);
+            } else if (call.order == server_order::pause) {
+                paused.push_back(server);
+            } else {
+                resumed.push_back(server);
             }
         };
         hooks.promote = [this](const group_id&, const target_id& server) {
@@ -204,6 +234,99 @@
     CHECK(servers.promoted.empty());
 }
 
+// An order to receive again could be carried out after one to pause.
+TEST_CASE(
+    "primary supervisor: nobody is paused while an order to receive again "
+    "is open")
+{
+    auto servers = supervised_servers();
+    servers.supervisor.supervise(group_id("g"), 1);
+    servers.pass(std::chrono::seconds(2), all);
+    servers.tell("p", 10, server_role::primary);
+    servers.tell("r1", 10, server_role::replica, 2);
+    servers.pass(milliseconds(100), all);
+    servers.tell("p", 10, server_role::primary);
+    servers.tell("r1", 10, server_role::replica, 2);
+    servers.tell("r2", 10);
+    servers.pass(milliseconds(100), all);
+    REQUIRE(servers.promoted == std::vector<std::string>{"p"});
+    servers.supervisor.on_promotion(servers.now, group_id("g"),
+                                    promotion_outcome::accepted);
+    servers.pass(milliseconds(1200), all);
+    REQUIRE(servers.resumed == std::vector<std::string>{"r1"});
+    servers.pass(milliseconds(2800), replicas);
+    servers.tell_last("r1", 10);
+    servers.tell("r2", 10);
+    servers.pass(milliseconds(800), replicas);
+    CHECK(servers.paused.empty());
+    for (auto round = 0; round < 4; ++round) {
+        servers.tell("r1", 10);
+        servers.tell("r2", 10);
+        servers.pass(milliseconds(800), replicas);
+    }
+    CHECK(!servers.paused.empty());
+}
+
+// A server that had become primary meanwhile was counted as a paused replica.
+TEST_CASE("primary supervisor: a server that leads ends a change")
+{
+    auto servers = supervised_servers();
+    servers.supervisor.supervise(group_id("g"), 1);
+    servers.pass(std::chrono::seconds(2), all);
+    servers.pass(milliseconds(2700), replicas);
+    servers.tell("r1", 10);
+    servers.tell("r2", 10);
+    servers.pass(milliseconds(650), replicas);
+    REQUIRE(servers.paused == replicas);
+    SUBCASE("by its reply")
+    {
+        servers.tell("r1", 10, server_role::primary);
+    }
+    SUBCASE("by its announcement")
+    {
+        servers.announce("r1", server_role::primary);
+        servers.pass(milliseconds(50));
+        servers.tell("r1", 10);
+    }
+    servers.tell("r2", 10);
+    servers.pass(milliseconds(200));
+    CHECK(servers.promoted.empty());
+}
+
+// A reply to an earlier survey counted for a later one.
+TEST_CASE("primary supervisor: a late reply says nothing about a later survey")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(2), all);
+    servers.pass(milliseconds(2700), replicas);
+    REQUIRE(!servers.asked.empty());
+    servers.pass(milliseconds(1100), replicas);
+    servers.tell_oldest("r1", 90);
+    servers.tell("r2", 20);
+    servers.pass(std::chrono::seconds(1), replicas);
+    CHECK(servers.promoted == std::vector<std::string>{"r2"});
+}
+
+// Of two equal replicas the one that an earlier call without an answer named is
+// promoted, so that its late execution changes nothing.
+TEST_CASE("primary supervisor: the server of an open order is preferred")
+{
+    auto servers = supervised_servers();
+    servers.pass(std::chrono::seconds(2), all);
+    servers.pass(milliseconds(2700), replicas);
+    servers.tell("r1", 10);
+    servers.tell("r2", 20);
+    servers.pass(milliseconds(650), replicas);
+    REQUIRE(servers.promoted == std::vector<std::string>{"r2"});
+    servers.supervisor.on_promotion(servers.now, group_id("g"),
+                                    promotion_outcome::unknown);
+    servers.pass(milliseconds(300), replicas);
+    servers.tell("r1", 20);
+    servers.tell("r2", 20);
+    servers.pass(milliseconds(650), replicas);
+    CHECK(servers.promoted == std::vector<std::string>{"r2", "r2"});
+}
+
 TEST_CASE("primary supervisor: announcements of unknown groups are ignored")
 {
     auto servers = supervised_servers();
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -408,14 +408,14 @@
     });
 }
 
-auto promotion_harness::release(server& which) -> void
+auto promotion_harness::release(server& which, bool has_successor) -> void
 {
     if (which.state != server_availability::ready) {
         return;
     }
     which.state = server_availability::draining;
     note(which.id + " drains");
-    later(drain_time, [this, id = which.id] {
+    later(drain_time, [this, id = which.id, has_successor] {
         auto* const each = find(id);
         directory_.remove(now_, target_id(id));
         note(id + " leaves");
@@ -425,7 +425,7 @@
         each->paused_by = 0;
         ++each->started_at;
         each->sequence = 0;
-        if (was_running) {
+        if (was_running && has_successor) {
             later(succession_time,
                   [this, name = each->id] { find(name)->is_running = true; });
         }
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -62,7 +62,7 @@
     auto deafen(server& which, duration length) -> void;
     /// Drains the server, which leaves after 7 s; 1 s later another one with
     /// its log starts at its address.
-    auto release(server& which) -> void;
+    auto release(server& which, bool has_successor = true) -> void;
     /// Another member of control leads, which knows nothing of earlier orders.
     auto change_leader() -> void;
 
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -399,12 +399,57 @@
     while (group.step_downs == 0) {
         group.run(promotion_harness::step);
     }
-    group.deafen(group.servers[1], seconds(4));
+    group.deafen(group.servers[1], seconds(20));
     group.servers[2].is_cut = true;
-    group.run(milliseconds(3500));
+    group.run(seconds(6));
     CHECK(group.lost == 0);
     CHECK(group.promoted == std::vector<std::string>{"a"});
     CHECK(group.is_accepting());
+    // It does not step down again for a replica that does not receive.
+    CHECK(group.step_downs == 1);
+}
+
+// A group waited for the log of a server whose commits were known elsewhere.
+TEST_CASE("promotion: a server that left is not waited for if others hold all")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.release(group.servers[2], false);
+    group.run(seconds(10));
+    group.crash(group.servers[0], seconds(60));
+    group.run(seconds(2));
+    CHECK(group.lost == 0);
+    CHECK(group.promoted == std::vector<std::string>{"b"});
+}
+
+// A group waited for a commit that no server was going to receive.
+TEST_CASE("promotion: a replica that stopped receiving is not waited for")
+{
+    auto group = promotion_harness();
+    group.servers[2].distance = milliseconds(60);
+    group.run(seconds(3));
+    group.release(group.servers[0]);
+    while (group.step_downs == 0) {
+        group.run(promotion_harness::step);
+    }
+    group.deafen(group.servers[1], seconds(8));
+    group.deafen(group.servers[2], seconds(8));
+    group.run(seconds(5));
+    CHECK(group.lost == 0);
+    CHECK(group.promoted == std::vector<std::string>{"c"});
+    // The promotion takes 0.6 s of it.
+    CHECK(group.longest_gap < seconds(2));
+}
+
+// Replicas stayed paused while control could not ask the primary whether it
+// led.
+TEST_CASE("promotion: writes go on while control does not reach the primary")
+{
+    auto settings = search_settings{};
+    auto group = promotion_harness();
+    play(group, 2334, settings);
+    CHECK(group.lost == 0);
+    CHECK(group.longest_gap < seconds(3));
 }
 
 // A leaving primary that crashed was asked for ever whether it led.
@@ -446,6 +491,7 @@
 TEST_CASE("promotion: a new leader lets a replica receive the end of the log")
 {
     auto group = promotion_harness(0);
+    group.servers[2].distance = milliseconds(60);
     group.run(seconds(3));
     group.release(group.servers[0]);
     while (group.step_downs == 0) {
