Review: a replica that leaves twice lets a promotion lose commits

A script with one synchronous replica: a replica leaves as planned for the second time while the other one receives nothing, and the primary goes dark. The position noted at the first leaving makes its log count as known, and the other replica is promoted without three acknowledged commits.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,41 +1,38 @@
 #!/usr/bin/env bash
-# A service with one synchronous replica loses its primary twice. An order to a
-# replica between these losses gets no answer and is carried out late.
+# A core machine is lost for good and replaced while another one is down for
+# 7 s. Later, when all are back, two others lose their disks right after an
+# acknowledgement. Reads the desired state back.
 #
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
-# run. With TROUBLE=0 every order is answered at once.
+# run. TROUBLE=0 leaves out the loss of the two disks; with TROUBLE=up the
+# machine that is down for 7 s stays up.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-members="1 2 3 4 5 11 12 13 21 250"
-seeds="1 2 3"
+trouble=${TROUBLE:-1}
+members="1 2 4 5 6 7"
+seeds="1 2 6"
 . review/stand_ins_2/cluster.sh
 
-for index in 1 2 3 4 5; do start "$index" true; done
-document 7
-sed -i 's/"timeoutMs":1000/"timeoutMs":3000/; s/"syncReplicas":0/"syncReplicas":1/' \
-    "$work/document"
-for attempt in $(seq 30); do
-    answer=$("$tool" PUT "$net.1:$port" /api/config "$work/document")
-    [ "${answer%% *}" = 200 ] && break
-    sleep 0.3
-done
-[ "${answer%% *}" = 200 ] || { note "no acknowledgement"; finish 2; }
-note "version 7 is acknowledged"
+for index in 1 2 4 5 6; do start "$index" true; done
+sleep 1
+for index in 1 2 4 5 6; do settings "$index" false; done
+put 7 1 2 4 5 6 || finish 2
+sleep 6
 
-settings 21 false
-sed -i 's/^role.*/role = "proxy"/; s/^machineClass.*/machineClass = "edge"/
-    s/^serves.*/serves = ["edge"]/; s/^dataDir.*//; s/^inTolerance.*/inTolerance = false/
-    s/^control = .*/front = "'"$net.21:$((port + 3))"'"\nreadiness = "'"$net.21:$port"'"/' \
-    "$work/21.toml"
-RHUBARBRUN_NODE_FILE="$work/21.toml" "$program" proxy >"$work/21.log" 2>&1 &
-pids[21]=$!
-note "the proxy starts"
-target/review-2/group_play "$net" "$port" "$((port + 3))" "${TROUBLE:-1}" \
-    >"$work/play" 2>&1 &
-pids[play]=$!
-wait "${pids[play]}"
-code=$?
-unset 'pids[play]'
-tee -a "$record" <"$work/play"
-finish "$code"
+if [ "$trouble" != up ]; then
+    lose 5
+    note "core-5 is down, with its disk"
+fi
+lose 6
+note "core-6 is lost for good"
+sleep 2
+start 7 false
+sleep 5
+[ "$trouble" = up ] || start 5 false
+
+# All are back; catchUpS is 4.
+sleep 15
+put 9 1 2 4 5 7 || finish 2
+[ "$trouble" = 0 ] || lose_two_disks 1 2 4 7
+read_back 9 1 2 4 5 7
--- a/review/stand_ins_2/cluster.sh
+++ b/review/stand_ins_2/cluster.sh
@@ -182,3 +182,37 @@
         "returns it in 40 s"
     finish 1
 }
+
+# A service with one synchronous replica behind five control members and a
+# proxy; `group_play` plays the events. Ends the script.
+play_group() { # resume|leave
+    local index answer code
+    for index in 1 2 3 4 5; do start "$index" true; done
+    document 7
+    sed -i 's/"timeoutMs":1000/"timeoutMs":3000/; s/"syncReplicas":0/"syncReplicas":1/' \
+        "$work/document"
+    for attempt in $(seq 30); do
+        answer=$("$tool" PUT "$net.1:$port" /api/config "$work/document")
+        [ "${answer%% *}" = 200 ] && break
+        sleep 0.3
+    done
+    [ "${answer%% *}" = 200 ] || { note "no acknowledgement"; finish 2; }
+    note "version 7 is acknowledged"
+
+    settings 21 false
+    sed -i 's/^role.*/role = "proxy"/; s/^machineClass.*/machineClass = "edge"/
+    s/^serves.*/serves = ["edge"]/; s/^dataDir.*//; s/^inTolerance.*/inTolerance = false/
+    s/^control = .*/front = "'"$net.21:$((port + 3))"'"\nreadiness = "'"$net.21:$port"'"/' \
+        "$work/21.toml"
+    RHUBARBRUN_NODE_FILE="$work/21.toml" "$program" proxy >"$work/21.log" 2>&1 &
+    pids[21]=$!
+    note "the proxy starts"
+    target/review-2/group_play "$net" "$port" "$((port + 3))" "${TROUBLE:-1}" "$1" \
+        >"$work/play" 2>&1 &
+    pids[play]=$!
+    wait "${pids[play]}"
+    code=$?
+    unset 'pids[play]'
+    tee -a "$record" <"$work/play"
+    finish "$code"
+}
--- a/review/stand_ins_2/group_play.cpp
+++ b/review/stand_ins_2/group_play.cpp
@@ -1,8 +1,9 @@
 // Three database servers of one service with one synchronous replica, the
 // platform's promotion call, and one consumer, as the users' pages describe
-// them. Plays the events of case 7 and prints what was sent, answered and run.
+// them. Plays the events of case 6 or 8 and prints what was sent, answered and
+// run.
 //
-//   group_play NET PORT PROXY_PORT TROUBLE
+//   group_play NET PORT PROXY_PORT TROUBLE resume|leave
 //
 // Servers are NET.11 to NET.13 at PORT, the platform is NET.250 at PORT,
 // control members are NET.1 to NET.5 at PORT, and the proxy is NET.21 at
@@ -68,6 +69,11 @@
     bool is_primary = false;
     /// It neither reads, answers nor sends.
     bool is_dark = false;
+    /// A replica that receives nothing.
+    bool is_deaf = false;
+    bool is_running = true;
+    bool is_draining = false;
+    std::int64_t born = 0;
     std::uint64_t newest = 1;
     std::uint64_t paused_by = 0;
     std::vector<commit> log{{1, 1, "first"}};
@@ -77,7 +83,6 @@
 
 std::array<server, 3> servers;
 std::uint64_t group_term = 1;
-std::int64_t born = 0;
 std::string net;
 int port = 0;
 bool has_trouble = true;
@@ -87,6 +92,9 @@
 steady::time_point first_resume;
 std::vector<std::string> promotions;
 std::string consumer_answer;
+/// Texts of writes that were acknowledged to the consumer.
+std::vector<std::string> acknowledged;
+bool is_broken = false;
 
 auto position_of(const server& each) -> std::string
 {
@@ -191,7 +199,9 @@
             continue;
         }
         for (auto& to : servers) {
-            if (!to.is_primary && !to.is_dark && to.paused_by == 0) {
+            const auto receives =
+                !to.is_primary && !to.is_dark && !to.is_deaf && to.is_running;
+            if (receives && to.paused_by == 0) {
                 to.log = from.log;
                 to.newest = group_term;
             }
@@ -290,6 +300,12 @@
     auto is_started = false;
     while (read_line(descriptor, buffer, line)) {
         wait_while_dark(self);
+        {
+            const auto lock = std::lock_guard(mutex);
+            if (!self.is_running) {
+                break;
+            }
+        }
         auto words = std::istringstream(line);
         auto first = std::string();
         auto id = std::string();
@@ -373,6 +389,7 @@
 auto ping(server& self) -> void
 {
     auto was_primary = false;
+    auto was_draining = false;
     auto next = steady::now();
     for (;;) {
         std::this_thread::sleep_for(milliseconds(20));
@@ -380,21 +397,25 @@
         auto node = 0;
         {
             const auto lock = std::lock_guard(mutex);
-            const auto is_due =
-                steady::now() >= next || self.is_primary != was_primary;
-            if (self.is_dark || !is_due) {
+            const auto is_due = steady::now() >= next ||
+                                self.is_primary != was_primary ||
+                                self.is_draining != was_draining;
+            if (self.is_dark || !self.is_running || !is_due) {
                 continue;
             }
             was_primary = self.is_primary;
+            was_draining = self.is_draining;
             next = steady::now() + ping_interval;
             node = self.node;
             body = R"({"service":"s1","address":")" + self.address + ':' +
                    std::to_string(port) +
                    R"(","zone":"z-1","version":"v1","capacity":5,)"
-                   R"("state":"ready","coldLeftMs":0,"dbRole":")" +
+                   R"("state":")" +
+                   (self.is_draining ? "draining" : "ready") +
+                   R"(","coldLeftMs":0,"dbRole":")" +
                    (self.is_primary ? "primary" : "replica") + R"(","seqNo":)" +
                    std::to_string(++self.sequence) + R"(,"born":)" +
-                   std::to_string(born) + '}';
+                   std::to_string(self.born) + '}';
         }
         for (auto tries = 0; tries < control_members; ++tries) {
             const auto host = net + '.' + std::to_string(1 + node);
@@ -425,6 +446,16 @@
         named->newest = group_term;
         note(id + " leads term " + std::to_string(group_term) + " with " +
              position_of(*named));
+        for (const auto& text : acknowledged) {
+            auto is_held = false;
+            for (const auto& kept : named->log) {
+                is_held |= kept.what.find(text) != std::string::npos;
+            }
+            if (!is_held) {
+                note(id + " lacks the acknowledged " + text);
+                is_broken = true;
+            }
+        }
         replicate();
     }).detach();
 }
@@ -484,6 +515,10 @@
         send_all(descriptor, "QUERY " + id + " WRITE item data-" + id + "\r\n");
         line.clear();
         read_line(descriptor, buffer, line);
+        if (line.starts_with("COMPLETE")) {
+            const auto lock = std::lock_guard(mutex);
+            acknowledged.push_back("data-" + id);
+        }
     }
     ::close(descriptor);
     return line;
@@ -496,14 +531,7 @@
     std::_Exit(2);
 }
 
-auto set_dark(server& each, bool is_dark) -> void
-{
-    const auto lock = std::lock_guard(mutex);
-    each.is_dark = is_dark;
-    note(each.id + (is_dark ? " goes dark" : " is back"));
-}
-
-auto play(int proxy_port) -> int
+auto wait_for_service(int proxy_port) -> void
 {
     auto answer = std::string();
     for (auto tries = 0; tries < 60 && !answer.starts_with("COMPLETE"); ++tries)
@@ -515,6 +543,120 @@
         fail("no write is served");
     }
     std::this_thread::sleep_for(milliseconds(3000));
+}
+
+auto now_ms() -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+auto begin_draining(server& each) -> void
+{
+    const auto lock = std::lock_guard(mutex);
+    each.is_draining = true;
+    note(each.id + " drains");
+}
+
+/// The end of a planned shutdown, `drainMs` and a little more later.
+auto leave(server& each) -> void
+{
+    auto node = 0;
+    {
+        const auto lock = std::lock_guard(mutex);
+        each.is_running = false;
+        node = each.node;
+        note(each.id + " ends and sends DELETE, with " + position_of(each));
+    }
+    for (auto tries = 0; tries < control_members; ++tries) {
+        if (http(net + '.' + std::to_string(1 + node), "DELETE",
+                 "/api/instances/" + each.id, "") /
+                100 ==
+            2)
+        {
+            return;
+        }
+        node = (node + 1) % control_members;
+    }
+    fail("DELETE is not acknowledged");
+}
+
+/// Starts again under its id and address, with its log.
+auto come_back(server& each) -> void
+{
+    const auto lock = std::lock_guard(mutex);
+    each.is_running = true;
+    each.is_draining = false;
+    each.born = now_ms();
+    each.sequence = 0;
+    note(each.id + " starts again with " + position_of(each));
+}
+
+auto set_deaf(server& each, bool is_deaf) -> void
+{
+    const auto lock = std::lock_guard(mutex);
+    each.is_deaf = is_deaf;
+    note(each.id + (is_deaf ? " receives nothing" : " receives again"));
+}
+
+auto set_dark(server& each, bool is_dark) -> void
+{
+    const auto lock = std::lock_guard(mutex);
+    each.is_dark = is_dark;
+    note(each.id + (is_dark ? " goes dark" : " is back"));
+}
+
+auto verdict() -> int
+{
+    const auto lock = std::lock_guard(mutex);
+    note(is_broken ? "LOST is broken: an acknowledged commit is not in the log "
+                     "of the server that was promoted"
+                   : "the rule held");
+    return is_broken ? 1 : 0;
+}
+
+/// A replica leaves while the other one receives nothing, and then the primary
+/// goes dark.
+auto play_leave(int proxy_port) -> int
+{
+    constexpr auto drain = milliseconds(7200);
+    wait_for_service(proxy_port);
+    auto& replica = servers[1];
+    if (has_trouble) {
+        begin_draining(replica);
+        std::this_thread::sleep_for(drain);
+        leave(replica);
+        std::this_thread::sleep_for(milliseconds(4000));
+        come_back(replica);
+        std::this_thread::sleep_for(milliseconds(3000));
+    }
+    begin_draining(replica);
+    std::this_thread::sleep_for(drain - milliseconds(2000));
+    set_deaf(servers[2], true);
+    for (const auto* const id : {"x1", "x2", "x3"}) {
+        const auto answer = consume(proxy_port, id);
+        const auto lock = std::lock_guard(mutex);
+        note("the consumer of " + std::string(id) + " gets " + answer);
+    }
+    std::this_thread::sleep_for(milliseconds(1900));
+    leave(replica);
+    std::this_thread::sleep_for(milliseconds(500));
+    set_dark(servers[0], true);
+    std::this_thread::sleep_for(milliseconds(3000));
+    set_deaf(servers[2], false);
+    std::this_thread::sleep_for(milliseconds(1500));
+    come_back(replica);
+    std::this_thread::sleep_for(milliseconds(2500));
+    set_dark(servers[0], false);
+    std::this_thread::sleep_for(milliseconds(4000));
+    return verdict();
+}
+
+/// The primary goes dark twice, and an order between is carried out late.
+auto play_resume(int proxy_port) -> int
+{
+    wait_for_service(proxy_port);
 
     // The first loss of the primary.
     set_dark(servers[0], true);
@@ -555,46 +697,26 @@
     set_dark(servers[1], false);
     std::this_thread::sleep_for(milliseconds(4000));
 
-    const auto lock = std::lock_guard(mutex);
-    auto has_commit = false;
-    for (const auto& each : servers) {
-        if (!each.is_primary) {
-            continue;
-        }
-        for (const auto& kept : each.log) {
-            has_commit |= kept.what.find("data-last") != std::string::npos;
-        }
-        note(each.id + " leads and " + (has_commit ? "holds" : "lacks") +
-             " the commit of last");
-    }
-    if (consumer_answer.starts_with("COMPLETE") && !has_commit) {
-        note("LOST is broken: the acknowledged commit is not in the log of the "
-             "server that was promoted");
-        return 1;
-    }
-    note("the rule held");
-    return 0;
+    return verdict();
 }
 
 } // namespace
 
 auto main(int count, char** arguments) -> int
 {
-    if (count != 5) {
+    if (count != 6) {
         return 2;
     }
     net = arguments[1];
     port = std::atoi(arguments[2]);
     has_trouble = std::string(arguments[4]) != "0";
-    born = std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-               .count();
     constexpr auto ids = std::array{"i-a", "i-b", "i-c"};
     for (auto index = std::size_t{0}; index < servers.size(); ++index) {
         auto& each = servers[index];
         each.id = ids[index];
         each.address = net + '.' + std::to_string(11 + index);
         each.is_primary = index == 0;
+        each.born = now_ms();
         each.node = static_cast<int>(index);
         accept_all(listen_at(each.address, port),
                    [&each](int descriptor) { serve(each, descriptor); });
@@ -608,5 +730,7 @@
             replicate();
         }
     }).detach();
-    std::_Exit(play(std::atoi(arguments[3])));
+    const auto proxy_port = std::atoi(arguments[3]);
+    std::_Exit(std::string(arguments[5]) == "leave" ? play_leave(proxy_port)
+                                                    : play_resume(proxy_port));
 }
