--- a/review/stand_ins_2/cluster.sh
+++ b/review/stand_ins_2/cluster.sh
@@ -185,7 +185,7 @@
 
 # A service with one synchronous replica behind five control members and a
 # proxy; `group_play` plays the events. Ends the script.
-play_group() { # resume|leave
+play_group() { # leave|resume|calls
     local index answer code
     for index in 1 2 3 4 5; do start "$index" true; done
     document 7
--- a/review/stand_ins_2/group_play.cpp
+++ b/review/stand_ins_2/group_play.cpp
@@ -1,15 +1,20 @@
 // Three database servers of one service with one synchronous replica, the
 // platform's promotion call, and one consumer, as the users' pages describe
-// them. Plays the events of case 6 or 8 and prints what was sent, answered and
-// run.
+// them. Plays the events of a case and prints what was sent, answered and run.
 //
-//   group_play NET PORT PROXY_PORT TROUBLE resume|leave
+//   group_play NET PORT PROXY_PORT TROUBLE leave|resume|calls
+//
+// leave (case 6): a replica leaves as planned, and then the primary goes dark;
+// unless TROUBLE is 0 the replica has left and come back once before.
+// resume (case 8): the primary goes dark twice; unless TROUBLE is 0 an order to
+// resume between is left unanswered and carried out late.
+// calls (case 10): the primary goes dark, and a replica restarts; unless
+// TROUBLE is 0 two calls to promote are left unanswered and carried out late.
 //
 // Servers are NET.11 to NET.13 at PORT, the platform is NET.250 at PORT,
 // control members are NET.1 to NET.5 at PORT, and the proxy is NET.21 at
-// PROXY_PORT. TROUBLE is 0 if every order to a server is answered at once.
-// Exits with 1 if an acknowledged commit is missing at the server that is
-// promoted, 0 if not, 2 if the events did not come about.
+// PROXY_PORT. Exits with 1 if an acknowledged commit is missing at the server
+// that is promoted, 0 if not, 2 if the events did not come about.
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -95,6 +100,12 @@
 /// Texts of writes that were acknowledged to the consumer.
 std::vector<std::string> acknowledged;
 bool is_broken = false;
+/// Times after which the next calls to promote are carried out, without an
+/// answer; the others are carried out at once.
+std::vector<milliseconds> late_calls;
+int calls = 0;
+/// Highest fence number that the platform has seen.
+std::uint64_t highest_token = 0;
 
 auto position_of(const server& each) -> std::string
 {
@@ -460,11 +471,37 @@
     }).detach();
 }
 
+/// Carries a call to promote out; returns the status. Call with `mutex` held.
+auto carry_out(const std::string& id, std::uint64_t token) -> int
+{
+    if (token < highest_token) {
+        note("platform refuses to promote " + id + ": lower fence number");
+        return 409;
+    }
+    highest_token = token;
+    for (const auto& each : servers) {
+        if (each.id != id) {
+            continue;
+        }
+        if (each.is_dark || !each.is_running) {
+            note("platform refuses to promote " + id + ": not running");
+            return 409;
+        }
+        note("platform carries out the call to promote " + id);
+        if (!each.is_primary) {
+            promotions.push_back(id);
+            promote(id);
+        }
+    }
+    return 200;
+}
+
 auto serve_platform(int descriptor) -> void
 {
     auto buffer = std::string();
     auto line = std::string();
     auto length = std::size_t{0};
+    auto token = std::uint64_t{0};
     while (read_line(descriptor, buffer, line) && !line.empty()) {
         auto lower = line;
         for (auto& letter : lower) {
@@ -472,6 +509,8 @@
         }
         if (lower.starts_with("content-length:")) {
             length = static_cast<std::size_t>(std::atoi(line.c_str() + 15));
+        } else if (lower.starts_with("x-fencing-token:")) {
+            token = std::strtoull(line.c_str() + 16, nullptr, 10);
         }
     }
     while (buffer.size() < length) {
@@ -482,21 +521,40 @@
         }
         buffer.append(bytes, static_cast<std::size_t>(size));
     }
+    auto id = std::string();
+    auto status = 0;
     {
         const auto lock = std::lock_guard(mutex);
         for (const auto& each : servers) {
-            if (buffer.find('"' + each.id + '"') == std::string::npos) {
-                continue;
-            }
-            note("platform is told to promote " + each.id);
-            if (!each.is_primary) {
-                promotions.push_back(each.id);
-                promote(each.id);
+            if (buffer.find('"' + each.id + '"') != std::string::npos) {
+                id = each.id;
             }
         }
+        ++calls;
+        note("platform is called to promote " + id + " with number " +
+             std::to_string(token));
+        if (late_calls.empty()) {
+            status = carry_out(id, token);
+        } else {
+            note("platform leaves the call unanswered for now");
+            const auto delay = late_calls.front();
+            late_calls.erase(late_calls.begin());
+            std::thread([id, token, delay] {
+                std::this_thread::sleep_for(delay);
+                const auto held = std::lock_guard(mutex);
+                note("the call to promote " + id + " is " +
+                     std::to_string(delay.count()) + " ms late");
+                carry_out(id, token);
+            }).detach();
+        }
+    }
+    if (status == 0) {
+        std::this_thread::sleep_for(milliseconds(3000));
+    } else {
+        send_all(descriptor, "HTTP/1.1 " + std::to_string(status) +
+                                 " -\r\nContent-Length: 0\r\n"
+                                 "Connection: close\r\n\r\n");
     }
-    send_all(descriptor, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-                         "Connection: close\r\n\r\n");
     ::close(descriptor);
 }
 
@@ -588,6 +646,7 @@
     const auto lock = std::lock_guard(mutex);
     each.is_running = true;
     each.is_draining = false;
+    each.paused_by = 0;
     each.born = now_ms();
     each.sequence = 0;
     note(each.id + " starts again with " + position_of(each));
@@ -653,6 +712,47 @@
     return verdict();
 }
 
+/// The primary is dark for a while, two calls to promote are carried out late,
+/// and a replica restarts meanwhile.
+auto play_calls(int proxy_port) -> int
+{
+    wait_for_service(proxy_port);
+    {
+        const auto lock = std::lock_guard(mutex);
+        if (has_trouble) {
+            late_calls = {milliseconds(2300), milliseconds(8000)};
+        }
+    }
+    set_dark(servers[0], true);
+    if (!wait_until([] { return calls > 0; }, milliseconds(9000))) {
+        fail("no call to promote");
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    set_dark(servers[0], false);
+    auto& replica = servers[2];
+    {
+        const auto lock = std::lock_guard(mutex);
+        replica.is_running = false;
+        note(replica.id + " crashes");
+    }
+    std::this_thread::sleep_for(milliseconds(600));
+    come_back(replica);
+    const auto until = steady::now() + milliseconds(9000);
+    for (auto count = 1; steady::now() < until; ++count) {
+        const auto id = "y" + std::to_string(count);
+        const auto answer = consume(proxy_port, id);
+        {
+            const auto lock = std::lock_guard(mutex);
+            note("the consumer of " + id + " gets " + answer);
+            if (is_broken) {
+                break;
+            }
+        }
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    return verdict();
+}
+
 /// The primary goes dark twice, and an order between is carried out late.
 auto play_resume(int proxy_port) -> int
 {
@@ -731,6 +831,8 @@
         }
     }).detach();
     const auto proxy_port = std::atoi(arguments[3]);
-    std::_Exit(std::string(arguments[5]) == "leave" ? play_leave(proxy_port)
-                                                    : play_resume(proxy_port));
+    const auto events = std::string(arguments[5]);
+    std::_Exit(events == "leave"    ? play_leave(proxy_port)
+               : events == "resume" ? play_resume(proxy_port)
+                                    : play_calls(proxy_port));
 }
