--- a/review/stand_ins_2/cluster.sh
+++ b/review/stand_ins_2/cluster.sh
@@ -31,7 +31,7 @@
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 addresses=()
 for index in $members; do addresses+=("$net.$index"); done
-port=$("$tool" ports $((20000 + RANDOM % 20000)) 4 "${addresses[@]}") || finish 2
+port=$("$tool" ports $((20000 + RANDOM % 12000)) 4 "${addresses[@]}") || finish 2
 seed_list=
 for index in $seeds; do seed_list+="${seed_list:+,}\"$net.$index:$port\""; done
 
