Review: the scripts end what they started in any case

A script that ended by an error of its own left its processes behind and could look like a broken rule. Now it ends them and exits with 2.

--- a/review/stand_ins_2/cluster.sh
+++ b/review/stand_ins_2/cluster.sh
@@ -17,6 +17,7 @@
 # Ends all processes; KEEP_LOGS names a folder for their logs.
 finish() { # exit code
     local index
+    trap - EXIT INT TERM
     for index in "${!pids[@]}"; do
         kill -KILL "${pids[$index]}" 2>/dev/null
     done
@@ -25,7 +26,8 @@
     rm -rf "$work"
     exit "$1"
 }
-trap 'finish 2' INT TERM
+# An end that is none of the script's own is no verdict.
+trap 'finish 2' EXIT INT TERM
 
 [ -x "$tool" ] && [ -x "$program" ] || { note "not built"; finish 2; }
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
@@ -162,6 +164,7 @@
         for index in "$@"; do
             answer=$("$tool" GET "$net.$index:$port" /api/config)
             status=${answer%% *}
+            [ -n "$status" ] || { note "no call was made"; finish 2; }
             seen[$status]=$((${seen[$status]:-0} + 1))
             if [ "$status" = 200 ]; then
                 held=$(grep -o '"version":[0-9]*' <<<"$answer")
