coordination, transport: a process without a leader opens links to all it knows

Cause: of two silent voters one has to be removed, and nobody can tell which is gone for good. The one that was only down never got back: its log named it as a member, members dial higher addresses only, and those with lower ones had forgotten it. The group went on with a dead voter that could not be removed, as it was one of the last five. A member that was down while its later leader joined was isolated in the same way. Change: choose_contacts decides who dials. A process that no leader serves opens links to its seeds, to the members of its log and to those that others name. Of several silent voters the one that has been silent for longest is removed. When the returned member has its vote, the dead one is one too many and goes. The way back is by the one that is missing, who alone knows that it is, so that it does not depend on what the others remember.

--- a/include/rhubarbrun/coordination/consensus.hpp
+++ b/include/rhubarbrun/coordination/consensus.hpp
@@ -131,6 +131,10 @@
                                        const member_identity& identity)
         -> propose_result;
 
+    /// Whether this member leads, or a leader sent it a message within the
+    /// minimum election timeout.
+    [[nodiscard]] auto hears_leader(time_point now) const -> bool;
+
     /// Requests the index up to which the state machine must be applied for a
     /// linearizable read. A later `consensus_ready::reads` has the outcome,
     /// once a quorum has confirmed that this member leads.
--- a/include/rhubarbrun/coordination/consensus_options.hpp
+++ b/include/rhubarbrun/coordination/consensus_options.hpp
@@ -37,8 +37,9 @@
     /// a fixed list. `members` then names the founders, which need not include
     /// this member.
     bool admits_unlisted_members = false;
-    /// The leader removes a voter that has not answered for this long, as long
-    /// as `min_voters` voters remain. Zero disables the removal.
+    /// The leader removes the voter that has not answered for longest, if it
+    /// has not for this long and `min_voters` voters remain. Zero disables the
+    /// removal.
     duration removal_timeout = duration::zero();
     /// Minimum number of voters that automatic removal leaves.
     std::size_t min_voters = 0;
--- a/src/coordination/consensus.cpp
+++ b/src/coordination/consensus.cpp
@@ -87,6 +87,11 @@
     return core_->read_index(now);
 }
 
+auto consensus_member::hears_leader(time_point now) const -> bool
+{
+    return core_->hears_leader(now);
+}
+
 auto consensus_member::set_contacts(std::vector<member_id> contacts) -> void
 {
     core_->set_contacts(std::move(contacts));
--- a/src/coordination/consensus_core.hpp
+++ b/src/coordination/consensus_core.hpp
@@ -37,6 +37,10 @@
     [[nodiscard]] auto propose_removal(time_point now,
                                        const member_identity& identity)
         -> propose_result;
+    [[nodiscard]] auto hears_leader(time_point now) const -> bool
+    {
+        return is_leader() || (leader_ && is_leader_recent(now));
+    }
     [[nodiscard]] auto read_index(time_point now) -> read_result;
     auto set_contacts(std::vector<member_id> contacts) -> void
     {
--- a/src/coordination/consensus_membership.cpp
+++ b/src/coordination/consensus_membership.cpp
@@ -112,18 +112,26 @@
     {
         return;
     }
+    // Nobody can tell whether a silent voter is down or gone for good. The one
+    // that has been silent for longest goes; if it was down it joins again, and
+    // then the next one is one too many.
+    const auto* silent = static_cast<const member_identity*>(nullptr);
+    auto silent_since = now;
     for (const auto& member : configuration.members) {
         const auto found = progress_.find(member.identity);
         if (member.role != member_role::voter || found == progress_.end()) {
             continue;
         }
         const auto heard = std::max(found->second.heard_at(), leading_since_);
-        if (now - heard >= options_.removal_timeout) {
-            static_cast<void>(propose_configuration(
-                now, configuration.without(member.identity)));
-            return;
+        if (heard < silent_since) {
+            silent = &member.identity;
+            silent_since = heard;
         }
     }
+    if (silent != nullptr && now - silent_since >= options_.removal_timeout) {
+        static_cast<void>(
+            propose_configuration(now, configuration.without(*silent)));
+    }
 }
 
 auto consensus_core::on_join_request(time_point now,
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -6,6 +6,7 @@
 #include <rhubarbrun/coordination/fencing_sequence.hpp>
 #include <rhubarbrun/coordination/ledger_succession.hpp>
 #include <rhubarbrun/coordination/member_choice.hpp>
+#include <rhubarbrun/coordination/member_contacts.hpp>
 #include <rhubarbrun/coordination/renewal_batch.hpp>
 #include <rhubarbrun/coordination/sighting_digest.hpp>
 #include <rhubarbrun/coordination/state_freshness.hpp>
@@ -149,7 +150,6 @@
     }
 
     auto look_for_members() -> void;
-    auto connect(const std::string& address) -> void;
     auto on_link_up(const link_info& link) -> void;
     auto on_message(const link_info& link, message_type type,
                     const std::string& payload) -> void;
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -61,17 +61,6 @@
 
 } // namespace
 
-auto configuration_node::implementation::connect(const std::string& address)
-    -> void
-{
-    // One side of each pair connects, which spares a second link.
-    if (address <= options_.address || !connected_.insert(address).second) {
-        return;
-    }
-    links_.connect({peer_role::control, address},
-                   {asio::ip::make_address(address), options_.peer_port});
-}
-
 auto configuration_node::implementation::member_names() const
     -> std::vector<std::string>
 {
@@ -85,26 +74,21 @@
 
 auto configuration_node::implementation::look_for_members() -> void
 {
-    const auto seeds = options_.seeds();
-    const auto members = member_names();
-    auto wanted = std::set<std::string>(seeds.begin(), seeds.end());
-    wanted.insert(members.begin(), members.end());
-    if (members.empty()) {
-        for (const auto& [name, told] : census_) {
-            wanted.insert(told.first.members.begin(), told.first.members.end());
-        }
+    auto sources = contact_sources{options_.address,
+                                   options_.seeds(),
+                                   member_names(),
+                                   {},
+                                   member_->hears_leader(steady_now())};
+    for (const auto& [name, told] : census_) {
+        sources.told_members.insert(sources.told_members.end(),
+                                    told.first.members.begin(),
+                                    told.first.members.end());
     }
-    wanted.erase(options_.address);
+    auto [wanted, dialed] = choose_contacts(sources);
     std::erase_if(wanted, [](const auto& name) { return !is_address(name); });
-    auto contacts = std::vector<member_id>();
-    const auto is_member = std::find(members.begin(), members.end(),
-                                     options_.address) != members.end();
+    auto contacts = std::vector<member_id>(wanted.begin(), wanted.end());
     for (const auto& address : wanted) {
-        contacts.emplace_back(address);
-        // An outsider is not known to the others and connects to all.
-        if (is_member) {
-            connect(address);
-        } else if (connected_.insert(address).second) {
+        if (dialed.contains(address) && connected_.insert(address).second) {
             links_.connect(
                 {peer_role::control, address},
                 {asio::ip::make_address(address), options_.peer_port});
@@ -208,7 +192,7 @@
         case message_type::proxy_census:
             if (const auto message = decode<proxy_census>(payload)) {
                 census_[link.peer.who.name] = {*message, steady_now()};
-                if (member_names().empty()) {
+                if (!member_->hears_leader(steady_now())) {
                     look_for_members();
                 }
             }
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -39,6 +39,30 @@
     CHECK(group.run_until([&] { return loopback_group::voters(joined) == 4; }));
 }
 
+// It dialed higher addresses only, and the members with lower ones had
+// forgotten it.
+TEST_CASE("configuration node: a member that was removed while it was down "
+          "comes back")
+{
+    auto group = loopback_group();
+    group.removal_timeout = std::chrono::milliseconds(1500);
+    auto members = std::vector<configuration_node*>();
+    for (const auto& address : founders) {
+        members.push_back(&group.start(address, founders, true));
+    }
+    auto& joined = group.start("127.0.0.4", founders, false);
+    REQUIRE(
+        group.run_until([&] { return loopback_group::voters(joined) == 4; }));
+    group.end(joined);
+    REQUIRE(group.run_until(
+        [&] { return loopback_group::voters(*members.front()) == 3; }));
+    auto& returned = group.start("127.0.0.4", founders, false);
+    CHECK(group.run_until(
+        [&] { return loopback_group::voters(*members.front()) == 4; }));
+    CHECK(
+        group.run_until([&] { return loopback_group::voters(returned) == 4; }));
+}
+
 TEST_CASE("configuration node: a configuration reaches a proxy, is read back "
           "and stays the newest")
 {
--- a/tests/transport/loopback_group.hpp
+++ b/tests/transport/loopback_group.hpp
@@ -78,12 +78,24 @@
                                                   {},
                                                   allowances,
                                                   disk_of(address)};
+        options.consensus.removal_timeout = removal_timeout;
         nodes_.push_back(std::make_unique<configuration_node>(
             context, std::move(options), std::move(hooks)));
         nodes_.back()->start();
         return *nodes_.back();
     }
 
+    /// Ends the node's process; its disk stays.
+    auto end(const configuration_node& node) -> void
+    {
+        for (auto& each : nodes_) {
+            if (each.get() == &node) {
+                each.reset();
+            }
+        }
+        context.run_for(std::chrono::milliseconds(10));
+    }
+
     /// Runs until the condition holds; false if it does not within 20 s.
     template <class Condition>
     auto run_until(Condition condition) -> bool
@@ -110,8 +122,9 @@
 
     /// Addresses of the members whose disks are full.
     std::set<std::string> full_disks;
-    /// For members that are started later.
+    // For members that are started later.
     std::optional<allowance_terms> allowances;
+    duration removal_timeout = duration::zero();
 
     asio::io_context context{1};
 
