coordination, transport: an acknowledgement outlasts the tolerated losses

Cause: the ended machine stayed a voter until it had been silent for 2.5 s. Six voters need four votes; with one gone and two lost three are left. A change was acknowledged whenever there were at least five voters, alive or not. Change: outlasts_losses states the promise over members, votes and lost disks. A change is acknowledged only if it holds for the voters that answered heartbeats sent after the submission; with 2n+1 voters and nobody who waits for a vote, the silent ones count among the lost. A surplus voter that is silent is removed early while an acknowledgement waits. The time-outs that notice a silence are as before; the promise no longer depends on them.

--- a/include/rhubarbrun/coordination/consensus.hpp
+++ b/include/rhubarbrun/coordination/consensus.hpp
@@ -131,6 +131,26 @@
                                        const member_identity& identity)
         -> propose_result;
 
+    /// Asks to be removed, as this member is about to end. It is removed only
+    /// if `consensus_options::min_voters` remain, so that a member that merely
+    /// restarts keeps its vote. It does not ask to join any more.
+    auto leave(time_point now) -> void;
+
+    /// Whether the group has not decided yet about `leave`.
+    [[nodiscard]] auto is_leaving() const -> bool;
+
+    /// Begins a round of heartbeats and returns its number.
+    [[nodiscard]] auto start_contact_round() -> std::uint64_t;
+
+    /// Whether the group outlasts the losses that `min_voters` stands for, as
+    /// far as its leader can tell from the answers to the round.
+    ///
+    /// A voter without an answer is taken as one of the lost, as long as none
+    /// waits to take its place; the others must be as many as the losses
+    /// require. While this returns false, silent voters are removed early.
+    [[nodiscard]] auto outlasts_tolerated_losses(time_point now,
+                                                 std::uint64_t round) -> bool;
+
     /// Whether this member leads, or a leader sent it a message within the
     /// minimum election timeout.
     [[nodiscard]] auto hears_leader(time_point now) const -> bool;
--- a/include/rhubarbrun/coordination/consensus_message.hpp
+++ b/include/rhubarbrun/coordination/consensus_message.hpp
@@ -171,17 +171,41 @@
     }
 };
 
+/// A member that is about to end asks the leader to remove it.
+struct leave_request
+{
+    template <class Archive>
+    auto serialize(Archive& /*archive*/) -> void
+    {
+    }
+};
+
+/// Answer of the leader to a `leave_request`, once it is decided.
+struct leave_reply
+{
+    /// The sender is in the group no longer; otherwise it is needed there.
+    bool is_removed = false;
+
+    template <class Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(is_removed);
+    }
+};
+
 /// A message between two control members.
 ///
 /// `from` and `to` name incarnations: a message for the former incarnation of
-/// a member that lost its disk is dropped. Only `found_request` and
-/// `join_request` may leave the receiver's incarnation open (0).
+/// a member that lost its disk is dropped. Only `found_request`,
+/// `join_request` and `leave_request` may leave the receiver's incarnation open
+/// (0).
 struct consensus_message
 {
     using body_type =
         std::variant<vote_request, vote_reply, append_request, append_reply,
                      heartbeat, heartbeat_reply, snapshot_chunk, snapshot_reply,
-                     found_request, found_reply, join_request>;
+                     found_request, found_reply, join_request, leave_request,
+                     leave_reply>;
 
     member_identity from;
     member_identity to;
--- a/include/rhubarbrun/coordination/consensus_options.hpp
+++ b/include/rhubarbrun/coordination/consensus_options.hpp
@@ -41,7 +41,8 @@
     /// has not for this long and `min_voters` voters remain. Zero disables the
     /// removal.
     duration removal_timeout = duration::zero();
-    /// Minimum number of voters that automatic removal leaves.
+    /// Minimum number of voters that automatic removal leaves: one more than
+    /// twice the number of disks that may be lost at a time.
     std::size_t min_voters = 0;
     /// Whether this member takes part in founding a new group.
     bool is_founding = false;
--- a/include/rhubarbrun/transport/configuration_node.hpp
+++ b/include/rhubarbrun/transport/configuration_node.hpp
@@ -105,6 +105,12 @@
     auto announce(const server_record& record) -> bool;
     auto withdraw(const target_id& server) -> void;
 
+    /// Asks the group to go on without this member, which is about to stop.
+    /// The group refuses if too few members would remain.
+    auto leave() -> void;
+    /// Whether the group has not decided yet about `leave`.
+    [[nodiscard]] auto is_leaving() const -> bool;
+
     /// To be called with the outcome of a hook of the supervisor.
     auto on_status(server_call_number number,
                    const std::optional<server_log_status>& status) -> void;
--- a/src/coordination/consensus.cpp
+++ b/src/coordination/consensus.cpp
@@ -13,7 +13,8 @@
     constexpr auto names = std::array{
         "vote_request",  "vote_reply",      "append_request", "append_reply",
         "heartbeat",     "heartbeat_reply", "snapshot_chunk", "snapshot_reply",
-        "found_request", "found_reply",     "join_request"};
+        "found_request", "found_reply",     "join_request",   "leave_request",
+        "leave_reply"};
     static_assert(names.size() ==
                   std::variant_size_v<consensus_message::body_type>);
     const auto position = message.body.index();
@@ -87,6 +88,27 @@
     return core_->read_index(now);
 }
 
+auto consensus_member::leave(time_point now) -> void
+{
+    core_->leave(now);
+}
+
+auto consensus_member::is_leaving() const -> bool
+{
+    return core_->is_leaving();
+}
+
+auto consensus_member::start_contact_round() -> std::uint64_t
+{
+    return core_->start_contact_round();
+}
+
+auto consensus_member::outlasts_tolerated_losses(time_point now,
+                                                 std::uint64_t round) -> bool
+{
+    return core_->outlasts_tolerated_losses(now, round);
+}
+
 auto consensus_member::hears_leader(time_point now) const -> bool
 {
     return core_->hears_leader(now);
--- a/src/coordination/consensus_core.cpp
+++ b/src/coordination/consensus_core.cpp
@@ -77,9 +77,11 @@
         campaign(now, true);
     }
     if (now >= next_join_) {
-        next_join_ = now + options_.min_election_timeout;
+        next_join_ = now + (is_leaving() ? options_.heartbeat_interval
+                                         : options_.min_election_timeout);
         tick_founding(now);
         tick_joining(now);
+        tick_leaving();
     }
 }
 
@@ -106,6 +108,10 @@
         on_found_reply(now, message.from, *reply);
     } else if (std::holds_alternative<join_request>(message.body)) {
         on_join_request(now, message.from);
+    } else if (std::holds_alternative<leave_request>(message.body)) {
+        on_leave_request(now, message.from);
+    } else if (std::holds_alternative<leave_reply>(message.body)) {
+        is_leave_decided_ = is_leave_wanted_;
     } else if (accept_term(now, message)) {
         dispatch(now, message);
     }
@@ -122,7 +128,8 @@
     }
     const auto may_be_open =
         std::holds_alternative<found_request>(message.body) ||
-        std::holds_alternative<join_request>(message.body);
+        std::holds_alternative<join_request>(message.body) ||
+        std::holds_alternative<leave_request>(message.body);
     return may_be_open && message.to.id == self_.id &&
            message.to.instance == incarnation(0);
 }
--- a/src/coordination/consensus_core.hpp
+++ b/src/coordination/consensus_core.hpp
@@ -37,6 +37,15 @@
     [[nodiscard]] auto propose_removal(time_point now,
                                        const member_identity& identity)
         -> propose_result;
+    auto leave(time_point now) -> void;
+    [[nodiscard]] auto is_leaving() const -> bool;
+    [[nodiscard]] auto start_contact_round() -> std::uint64_t
+    {
+        is_round_wanted_ = true;
+        return round_ + 1;
+    }
+    [[nodiscard]] auto outlasts_tolerated_losses(time_point now,
+                                                 std::uint64_t round) -> bool;
     [[nodiscard]] auto hears_leader(time_point now) const -> bool
     {
         return is_leader() || (leader_ && is_leader_recent(now));
@@ -158,8 +167,22 @@
     [[nodiscard]] auto propose_configuration(time_point now, membership next)
         -> log_index;
     auto promote_learners(time_point now) -> void;
+    /// Whether the member answered within the minimum election timeout.
+    [[nodiscard]] auto is_responsive(time_point now,
+                                     const member_identity& identity) const
+        -> bool;
+    /// Whether a member is about to get a vote.
+    [[nodiscard]] auto has_joiner(time_point now) const -> bool;
     auto remove_silent_voter(time_point now) -> void;
+    /// Removes a member that asked for it, if it is not needed.
+    auto remove_leaver(time_point now) -> void;
+    /// Whether the group keeps its tolerance without the member, now or once
+    /// one that is joining has its vote.
+    [[nodiscard]] auto may_spare(time_point now,
+                                 const member_identity& identity) const -> bool;
     auto tick_joining(time_point now) -> void;
+    auto tick_leaving() -> void;
+    auto ask_contacts(const consensus_message::body_type& body) -> void;
     auto tick_founding(time_point now) -> void;
     auto found_group(time_point now) -> void;
     [[nodiscard]] auto is_uninitialized() const -> bool;
@@ -171,6 +194,7 @@
     auto on_found_reply(time_point now, const member_identity& from,
                         const found_reply& reply) -> void;
     auto on_join_request(time_point now, const member_identity& from) -> void;
+    auto on_leave_request(time_point now, const member_identity& from) -> void;
 
     /// Returns the highest value that a quorum of voters reaches. `own` returns
     /// this member's value, `other` that of another voter.
@@ -208,11 +232,21 @@
     /// Heartbeat rounds that may still be answered, and when they were sent.
     std::map<std::uint64_t, time_point> rounds_;
     bool is_round_wanted_ = false;
+    /// When members asked last to join and to leave.
+    std::map<member_identity, time_point> joiners_;
+    std::map<member_identity, time_point> leavers_;
+    /// Until then a silent voter is removed after the minimum election timeout,
+    /// as an acknowledgement waits for it.
+    time_point hurried_until_;
     std::uint64_t last_ticket_ = 0;
     std::deque<waiting_read> reads_;
 
     // Outside a configuration or without a leader.
+    /// When this member asks next to join or to leave.
     time_point next_join_;
+    /// Whether `leave` was called, and whether the leader has decided.
+    bool is_leave_wanted_ = false;
+    bool is_leave_decided_ = false;
     std::vector<member_id> contacts_;
     std::map<member_id, member_identity> agreed_;
     std::map<member_id, std::string> refusals_;
--- a/src/coordination/consensus_election.cpp
+++ b/src/coordination/consensus_election.cpp
@@ -79,6 +79,12 @@
     rounds_.clear();
     agreed_.clear();
     refusals_.clear();
+    joiners_.clear();
+    leavers_.clear();
+    if (is_leave_wanted_ && !is_leave_decided_) {
+        leavers_[self_] = now;
+    }
+    hurried_until_ = now;
     incoming_.reset();
     uncommitted_bytes_ =
         log_.weight(log_.committed().next(), log_.last_index());
--- a/src/coordination/consensus_membership.cpp
+++ b/src/coordination/consensus_membership.cpp
@@ -1,5 +1,7 @@
 #include "consensus_core.hpp"
 
+#include <rhubarbrun/coordination/loss_tolerance.hpp>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -68,11 +70,10 @@
         if (member.role != member_role::learner || found == progress_.end()) {
             continue;
         }
-        const auto& progress = found->second;
-        const auto is_responsive =
-            progress.has_answered() &&
-            now - progress.heard_at() < options_.min_election_timeout;
-        if (is_responsive && progress.matched() >= log_.committed()) {
+        if (is_responsive(now, member.identity) &&
+            found->second.matched() >= log_.committed() &&
+            !leavers_.contains(member.identity))
+        {
             static_cast<void>(propose_configuration(
                 now, log_.configuration().with(
                          {member.identity, member_role::voter})));
@@ -81,16 +82,75 @@
     }
 }
 
+auto consensus_core::is_responsive(time_point now,
+                                   const member_identity& identity) const
+    -> bool
+{
+    const auto found = progress_.find(identity);
+    return found != progress_.end() && found->second.has_answered() &&
+           now - found->second.heard_at() < options_.min_election_timeout;
+}
+
+auto consensus_core::has_joiner(time_point now) const -> bool
+{
+    const auto& configuration = log_.configuration();
+    const auto has_asked =
+        std::any_of(joiners_.begin(), joiners_.end(), [&](const auto& each) {
+            return now - each.second < options_.max_election_timeout &&
+                   !configuration.is_voter(each.first);
+        });
+    return has_asked ||
+           std::any_of(configuration.members.begin(),
+                       configuration.members.end(), [&](const auto& each) {
+                           return each.role == member_role::learner &&
+                                  is_responsive(now, each.identity);
+                       });
+}
+
+auto consensus_core::outlasts_tolerated_losses(time_point now,
+                                               std::uint64_t round) -> bool
+{
+    const auto& configuration = log_.configuration();
+    const auto losses = options_.min_voters / 2;
+    if (!is_leader() || !membership_change_refusal().empty() ||
+        configuration.voter_count() < options_.min_voters)
+    {
+        return false;
+    }
+    const auto has_answered = [&](const member_identity& identity) {
+        const auto found = progress_.find(identity);
+        return identity == self_ || (found != progress_.end() &&
+                                     found->second.answered_round() >= round);
+    };
+    if (outlasts_losses(configuration, has_answered, losses)) {
+        return true;
+    }
+    if (configuration.voter_count() == options_.min_voters && !has_joiner(now))
+    {
+        // Without a successor, the silent ones count among the lost.
+        return true;
+    }
+    hurried_until_ = now + options_.max_election_timeout;
+    return false;
+}
+
 auto consensus_core::tick_joining(time_point now) -> void
 {
     const auto silence = now - leader_contact_;
     const auto is_served = leader_ && is_leader_recent(now);
-    if (is_served ||
-        (is_member() && silence < 2 * options_.max_election_timeout)) {
+    if (is_served || is_leave_wanted_ ||
+        (is_member() && silence < 2 * options_.max_election_timeout))
+    {
         return;
     }
     // A member that was removed without being notified asks as well; the
     // leader ignores requests of members in its configuration.
+    ask_contacts(join_request{});
+}
+
+auto consensus_core::ask_contacts(const consensus_message::body_type& body)
+    -> void
+{
     auto asked =
         std::set<member_id>(options_.members.begin(), options_.members.end());
     asked.insert(contacts_.begin(), contacts_.end());
@@ -99,7 +159,83 @@
     }
     asked.erase(self_.id);
     for (const auto& id : asked) {
-        send({id, incarnation(0)}, join_request{});
+        send({id, incarnation(0)}, body);
+    }
+}
+
+auto consensus_core::leave(time_point now) -> void
+{
+    is_leave_wanted_ = true;
+    next_join_ = now;
+    if (is_leader()) {
+        is_leave_decided_ = !may_spare(now, self_);
+        leavers_[self_] = now;
+        remove_leaver(now);
+    }
+}
+
+auto consensus_core::is_leaving() const -> bool
+{
+    if (!is_leave_wanted_ || is_leave_decided_) {
+        return false;
+    }
+    // A leader leads until its removal is committed. Without more members than
+    // are kept, it would refuse.
+    return is_leader() || (is_member() && log_.configuration().members.size() >
+                                              options_.min_voters);
+}
+
+auto consensus_core::tick_leaving() -> void
+{
+    if (is_leaving()) {
+        ask_contacts(leave_request{});
+    }
+}
+
+auto consensus_core::may_spare(time_point now,
+                               const member_identity& identity) const -> bool
+{
+    const auto& configuration = log_.configuration();
+    return !configuration.is_voter(identity) ||
+           configuration.voter_count() > options_.min_voters || has_joiner(now);
+}
+
+auto consensus_core::on_leave_request(time_point now,
+                                      const member_identity& from) -> void
+{
+    if (!is_leader()) {
+        return;
+    }
+    const auto is_in_group = log_.configuration().find(from) != nullptr;
+    if (!is_in_group && log_.configuration_index() <= log_.committed()) {
+        send(from, leave_reply{true});
+    } else if (is_in_group && !may_spare(now, from)) {
+        leavers_.erase(from);
+        send(from, leave_reply{false});
+    } else {
+        leavers_[from] = now;
+        remove_leaver(now);
+    }
+}
+
+auto consensus_core::remove_leaver(time_point now) -> void
+{
+    std::erase_if(leavers_, [&](const auto& each) {
+        return each.first != self_ &&
+               now - each.second >= options_.max_election_timeout;
+    });
+    const auto& configuration = log_.configuration();
+    if (!membership_change_refusal().empty()) {
+        return;
+    }
+    for (const auto& [identity, asked_at] : leavers_) {
+        const auto is_spare = !configuration.is_voter(identity) ||
+                              configuration.voter_count() > options_.min_voters;
+        if (configuration.find(identity) != nullptr && is_spare) {
+            static_cast<void>(
+                propose_configuration(now, configuration.without(identity)));
+            return;
+        }
     }
 }
 
@@ -128,7 +264,9 @@
             silent_since = heard;
         }
     }
-    if (silent != nullptr && now - silent_since >= options_.removal_timeout) {
+    const auto timeout = now < hurried_until_ ? options_.min_election_timeout
+                                              : options_.removal_timeout;
+    if (silent != nullptr && now - silent_since >= timeout) {
         static_cast<void>(
             propose_configuration(now, configuration.without(*silent)));
     }
@@ -140,11 +278,8 @@
     const auto is_allowed = options_.admits_unlisted_members ||
                             std::binary_search(options_.members.begin(),
                                                options_.members.end(), from.id);
-    if (!is_leader() || !is_allowed || !membership_change_refusal().empty()) {
-        return;
-    }
     const auto& configuration = log_.configuration();
-    if (configuration.find(from) != nullptr) {
+    if (!is_leader() || !is_allowed || configuration.find(from) != nullptr) {
         return;
     }
     if (const auto* const former = configuration.find(from.id);
@@ -155,6 +290,13 @@
             return;
         }
     }
+    std::erase_if(joiners_, [&](const auto& each) {
+        return now - each.second >= options_.max_election_timeout;
+    });
+    joiners_[from] = now;
+    if (!membership_change_refusal().empty()) {
+        return;
+    }
     // Replacing the former incarnation by the new one as a learner changes a
     // single voter.
     static_cast<void>(propose_configuration(
--- a/src/coordination/consensus_replication.cpp
+++ b/src/coordination/consensus_replication.cpp
@@ -167,6 +167,7 @@
         }
     }
     promote_learners(now);
+    remove_leaver(now);
     remove_silent_voter(now);
 }
 
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -178,9 +178,10 @@
         const auto result = member_->propose(
             now, configuration_history::encode({version, compress_text(text)}));
         if (const auto* const added = std::get_if<proposal>(&result)) {
-            submissions_.emplace(added->index,
-                                 pending_submission{version, added->elected,
-                                                    now, std::move(done)});
+            const auto round = member_->start_contact_round();
+            submissions_.emplace(
+                added->index, pending_submission{version, added->elected, now,
+                                                 round, std::move(done)});
             return;
         }
         done(submit_outcome::unknown);
@@ -218,6 +219,7 @@
     is_pumping_ = false;
     freshness_.on_applied(applied_);
     follow_leadership();
+    finish_submissions(steady_now());
     finish_reads(steady_now());
     const auto is_snapshot_due =
         applied_.value() - snapshot_index_.value() >= entries_per_snapshot ||
@@ -364,15 +366,51 @@
         finished.push_back(std::move(each->second));
     }
     submissions_.erase(first, last);
-    for (const auto& each : finished) {
+    for (auto& each : finished) {
         if (each.elected == entry.elected) {
-            log_acknowledged(each, entry.index);
+            committed_submissions_.push_back({std::move(each), entry.index});
+        } else {
+            each.done(submit_outcome::unknown);
+        }
+    }
+}
+
+auto configuration_node::implementation::finish_submissions(time_point now)
+    -> void
+{
+    auto waiting = std::exchange(committed_submissions_, {});
+    for (auto& each : waiting) {
+        const auto& [submission, index] = each;
+        if (member_->outlasts_tolerated_losses(now, submission.round)) {
+            log_acknowledged(submission, index);
+            submission.done(submit_outcome::accepted);
+        } else if (now - submission.since > submit_patience ||
+                   !member_->is_leader()) {
+            log_event("configuration_not_acknowledged", event_severity::warning)
+                .field("version", submission.version)
+                .field("index", index)
+                .field("leader", member_->is_leader())
+                .field("reason", "the group would not outlast the losses that "
+                                 "are tolerated");
+            submission.done(submit_outcome::unknown);
+        } else {
+            committed_submissions_.push_back(std::move(each));
         }
-        each.done(each.elected == entry.elected ? submit_outcome::accepted
-                                                : submit_outcome::unknown);
     }
 }
 
+auto configuration_node::implementation::leave() -> void
+{
+    run([&] {
+        log_event("leave_asked")
+            .field("member", files_.identity())
+            .field("leader", leader().value_or(std::string()))
+            .field("members",
+                   member_->status(steady_now()).configuration.members.size());
+        member_->leave(steady_now());
+    });
+}
+
 auto configuration_node::implementation::follow_leadership() -> void
 {
     const auto is_leading = is_leader();
@@ -558,6 +596,16 @@
     implementation_->withdraw(server);
 }
 
+auto configuration_node::leave() -> void
+{
+    implementation_->leave();
+}
+
+auto configuration_node::is_leaving() const -> bool
+{
+    return implementation_->is_leaving();
+}
+
 auto configuration_node::on_status(
     server_call_number number, const std::optional<server_log_status>& status)
     -> void
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -46,6 +46,11 @@
     auto read(read_callback done) -> void;
     auto announce(const server_record& record, bool is_shared) -> bool;
     auto withdraw(const target_id& server) -> void;
+    auto leave() -> void;
+    [[nodiscard]] auto is_leaving() const -> bool
+    {
+        return !is_stopped_ && member_->is_leaving();
+    }
 
     auto supervisor() -> primary_supervisor& { return supervisor_; }
     auto on_position(const group_id& group, time_point asked_at,
@@ -111,8 +116,16 @@
         std::uint64_t version = 0;
         election_term elected;
         time_point since;
+        /// Heartbeats sent after the submission.
+        std::uint64_t round = 0;
         submit_callback done;
     };
+    /// A submission that is committed and not acknowledged yet.
+    struct committed_submission
+    {
+        pending_submission submission;
+        log_index index;
+    };
     struct pending_read
     {
         time_point since;
@@ -235,6 +248,8 @@
     auto apply(const log_entry& entry) -> void;
     auto follow_leadership() -> void;
     auto finish_reads(time_point now) -> void;
+    /// Acknowledges what the tolerated losses cannot take away any more.
+    auto finish_submissions(time_point now) -> void;
     auto give_up_pending(time_point now) -> void;
     auto arm_timer() -> void;
     auto fail(const std::string& reason) -> void;
@@ -276,6 +291,7 @@
     time_point next_cache_save_;
     std::set<std::string> connected_;
     std::multimap<log_index, pending_submission> submissions_;
+    std::vector<committed_submission> committed_submissions_;
     std::map<read_ticket, pending_read> reads_;
     log_index applied_;
     log_index snapshot_index_;
--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -63,6 +63,27 @@
         group.run_until([&] { return loopback_group::voters(returned) == 4; }));
 }
 
+// The group kept the vote of a member that had ended for good as planned.
+TEST_CASE("configuration node: a member leaves before it ends, unless the "
+          "group needs its vote")
+{
+    auto group = loopback_group();
+    auto members = std::vector<configuration_node*>();
+    for (const auto& address : founders) {
+        members.push_back(&group.start(address, founders, true));
+    }
+    auto& joined = group.start("127.0.0.4", founders, false);
+    REQUIRE(
+        group.run_until([&] { return loopback_group::voters(joined) == 4; }));
+    members.back()->leave();
+    CHECK(group.run_until([&] { return !members.back()->is_leaving(); }));
+    members.back()->stop();
+    CHECK(group.run_until([&] { return loopback_group::voters(joined) == 3; }));
+    joined.leave();
+    CHECK(group.run_until([&] { return !joined.is_leaving(); }));
+    CHECK(loopback_group::voters(joined) == 3);
+}
+
 TEST_CASE("configuration node: a configuration reaches a proxy, is read back "
           "and stays the newest")
 {
