coordination: the bound of a log holds for one start of the server

Cause: the position at or above the end of a departed server's log was kept by its id, and neither replaced nor removed when the server started again. At the second leaving the position of the first one made its log count as known. Change: a bound names the start that it belongs to and is replaced by that of a later one.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -183,6 +183,13 @@
         time_point asked_at;
         log_position position;
     };
+    /// A position at or above the end of the log of a server that left, which
+    /// holds for that start of it.
+    struct departure_bound
+    {
+        log_position position;
+        std::uint64_t started_at = 0;
+    };
     struct supervised_group
     {
         phase stage = phase::watching;
@@ -224,8 +231,7 @@
         std::map<server_call_number, target_id> resumes;
         time_point next_patrol;
         std::optional<sampled_position> primary_sample;
-        /// For servers that left: a position at or above the end of their log.
-        std::map<target_id, log_position> bounds_of_departed;
+        std::map<target_id, departure_bound> bounds_of_departed;
     };
 
     auto watch(time_point now, const group_id& id, supervised_group& group,
--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -172,7 +172,10 @@
         return false;
     }
     const auto bound = group.bounds_of_departed.find(record.id);
-    if (bound != group.bounds_of_departed.end() && reached >= bound->second) {
+    if (bound != group.bounds_of_departed.end() &&
+        bound->second.started_at == record.started_at &&
+        reached >= bound->second.position)
+    {
         return false;
     }
     const auto servers = directory.servers_of(id);
@@ -284,8 +287,11 @@
             if (each->record.state == server_availability::gone &&
                 each->heard_at < group.primary_sample->asked_at)
             {
-                group.bounds_of_departed.try_emplace(
-                    each->record.id, group.primary_sample->position);
+                auto& bound = group.bounds_of_departed[each->record.id];
+                if (bound.started_at != each->record.started_at) {
+                    bound = {group.primary_sample->position,
+                             each->record.started_at};
+                }
             }
         }
     }
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -14,8 +14,6 @@
 constexpr auto order_delay = std::chrono::seconds(5);
 constexpr auto announcement_interval = milliseconds(1200);
 constexpr auto sighting_interval = milliseconds(500);
-constexpr auto drain_time = std::chrono::seconds(7);
-constexpr auto succession_time = std::chrono::seconds(1);
 
 } // namespace
 
@@ -254,6 +252,11 @@
     const auto is_order = call.order != server_order::report;
     if (known->is_cut) {
         reply(call_timeout, std::nullopt);
+    } else if (late_orders[call.order] > 0) {
+        --late_orders[call.order];
+        reply(call_timeout, std::nullopt);
+        later(late_order_delay,
+              [this, call] { static_cast<void>(carry_out(call)); });
     } else if (are_orders_late && is_order && orders_++ % 2 == 0) {
         reply(call_timeout, std::nullopt);
         later(order_delay,
@@ -306,6 +309,7 @@
 auto promotion_harness::on_promote(const target_id& candidate) -> void
 {
     const auto token = ++last_token_;
+    ++orders_to_promote;
     const auto reply = [this, leader = leader_](duration delay,
                                                 promotion_outcome outcome) {
         later(delay, [this, leader, outcome] {
@@ -318,9 +322,14 @@
         reply(promotion_timeout, promotion_outcome::unknown);
         return;
     }
-    if (std::exchange(is_promotion_late, false)) {
+    if (is_promotion_late || !late_promotions.empty()) {
+        auto delay = promotion_delay;
+        if (!std::exchange(is_promotion_late, false)) {
+            delay = late_promotions.front();
+            late_promotions.erase(late_promotions.begin());
+        }
         reply(promotion_timeout, promotion_outcome::unknown);
-        later(promotion_delay, [this, candidate, token] {
+        later(delay, [this, candidate, token] {
             static_cast<void>(start_promotion(candidate.value(), token));
         });
         return;
@@ -408,6 +417,30 @@
     });
 }
 
+auto promotion_harness::leave(server& which) -> void
+{
+    if (which.state != server_availability::ready || !which.is_running) {
+        return;
+    }
+    which.state = server_availability::draining;
+    note(which.id + " drains");
+    later(drain_time, [this, id = which.id] {
+        auto* const each = find(id);
+        directory_.remove(now_, target_id(id));
+        note(id + " leaves");
+        each->is_running = false;
+        later(succession_time, [this, id] {
+            auto* const returned = find(id);
+            note(id + " is back");
+            returned->is_running = true;
+            returned->state = server_availability::ready;
+            returned->paused_by = 0;
+            ++returned->started_at;
+            returned->sequence = 0;
+        });
+    });
+}
+
 auto promotion_harness::release(server& which, bool has_successor) -> void
 {
     if (which.state != server_availability::ready) {
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -63,6 +63,11 @@
     /// Drains the server, which leaves after 7 s; 1 s later another one with
     /// its log starts at its address.
     auto release(server& which, bool has_successor = true) -> void;
+    /// The same, but the server comes back under its id.
+    auto leave(server& which) -> void;
+    duration drain_time = std::chrono::seconds(7);
+    /// From the end of a server to the start of the next one with its log.
+    duration succession_time = std::chrono::seconds(1);
     /// Another member of control leads, which knows nothing of earlier orders.
     auto change_leader() -> void;
 
@@ -83,6 +88,12 @@
     /// The next call to promote gets no reply and is carried out late.
     bool is_promotion_late = false;
     duration promotion_delay = std::chrono::seconds(5);
+    /// The next orders of a kind that get no reply and are carried out late.
+    std::map<server_order, unsigned> late_orders;
+    duration late_order_delay = milliseconds(2200);
+    /// The next calls to promote get no reply and are carried out that much
+    /// later.
+    std::vector<duration> late_promotions;
     /// The next call to promote gets no reply and is never carried out.
     bool is_promotion_lost = false;
     /// An injected fault: servers confirm orders to pause and go on receiving.
@@ -98,6 +109,7 @@
     /// What the supervisor and the servers did, with times in milliseconds.
     std::vector<std::string> events;
     std::size_t step_downs = 0;
+    std::size_t orders_to_promote = 0;
     /// Longest time in which the caller wrote and no commit was acknowledged.
     duration longest_gap = duration::zero();
 
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -32,7 +32,18 @@
     hide_primary,
     /// The caller does not write, so that all positions become equal.
     rest,
+    /// The primary is back while its successor's promotion takes effect.
+    crash_primary_for_a_second,
+    restart_far_replica,
+    /// The next orders of a kind are carried out late.
+    late_pauses,
+    late_resume,
+    late_step_downs,
+    two_late_promotions,
+    /// It comes back under its id.
+    leave_near_replica,
 };
+/// Kinds of the first searches, whose histories are named by numbers.
 constexpr auto fault_count = std::size_t{14};
 /// All servers are back, and late orders are carried out.
 constexpr auto calm_length = seconds(25);
@@ -95,9 +106,45 @@
         group.is_writing = false;
         group.later(seconds(2), [&group] { group.is_writing = true; });
         break;
+    case fault::crash_primary_for_a_second:
+        if (leading != nullptr) {
+            group.crash(*leading, milliseconds(1100));
+        }
+        break;
+    case fault::restart_far_replica:
+        if (!group.servers[1].is_primary) {
+            group.crash(group.servers[1], milliseconds(600));
+        }
+        break;
+    case fault::late_pauses:
+        group.late_orders[server_order::pause] = 2;
+        break;
+    case fault::late_resume:
+        group.late_orders[server_order::resume] = 1;
+        break;
+    case fault::late_step_downs:
+        group.late_orders[server_order::step_down] = 2;
+        break;
+    case fault::two_late_promotions:
+        group.late_promotions = {milliseconds(2300), seconds(8)};
+        break;
+    case fault::leave_near_replica:
+        if (!group.servers[2].is_primary) {
+            group.leave(group.servers[2]);
+        }
+        break;
     }
 }
 
+auto first_kinds() -> std::vector<fault>
+{
+    auto kinds = std::vector<fault>();
+    for (auto kind = std::size_t{0}; kind < fault_count; ++kind) {
+        kinds.push_back(static_cast<fault>(kind));
+    }
+    return kinds;
+}
+
 struct search_result
 {
     std::size_t histories = 0;
@@ -120,6 +167,11 @@
     duration far_distance = milliseconds(70);
     std::uint32_t synchronous_replicas = 1;
     bool is_pause_ignored = false;
+    std::vector<fault> kinds = first_kinds();
+    /// Whether a replica has left and come back under its id before.
+    bool has_left_before = false;
+    duration drain_time = seconds(7);
+    duration succession_time = seconds(1);
 };
 
 /// Plays the history whose faults are the digits of `number`.
@@ -128,10 +180,16 @@
 {
     group.is_pause_ignored = settings.is_pause_ignored;
     group.servers[1].distance = settings.far_distance;
+    group.drain_time = settings.drain_time;
+    group.succession_time = settings.succession_time;
     group.run(seconds(3));
+    if (settings.has_left_before) {
+        group.leave(group.servers[2]);
+        group.run(settings.drain_time + settings.succession_time + seconds(3));
+    }
     for (auto level = std::size_t{0}; level < settings.depth; ++level) {
-        apply(group, static_cast<fault>(number % fault_count));
-        number /= fault_count;
+        apply(group, settings.kinds.at(number % settings.kinds.size()));
+        number /= settings.kinds.size();
         group.run(settings.phase_length);
     }
     group.run(calm_length);
@@ -143,7 +201,7 @@
     auto result = search_result{};
     auto count = std::size_t{1};
     for (auto level = std::size_t{0}; level < settings.depth; ++level) {
-        count *= fault_count;
+        count *= settings.kinds.size();
     }
     for (auto number = std::size_t{0}; number < count; ++number) {
         auto group = promotion_harness(settings.synchronous_replicas);
@@ -570,6 +628,44 @@
     }
 }
 
+// Facts outlived what had made them true, such as the end of a log that was
+// noted for an earlier start.
+TEST_CASE("promotion search: late orders, restarts and second leavings lose "
+          "nothing")
+{
+    auto settings = search_settings{};
+    SUBCASE("a second leaving under one id")
+    {
+        settings.kinds = {fault::none, fault::crash_primary,
+                          fault::crash_replica, fault::deafen_far_replica,
+                          fault::leave_near_replica};
+        settings.has_left_before = true;
+        settings.drain_time = milliseconds(1500);
+        settings.succession_time = seconds(5);
+    }
+    check(search(settings));
+}
+
+// The end of a log that was noted when a server left was taken for that of its
+// next start.
+TEST_CASE("promotion: a server may leave twice under one id")
+{
+    auto group = promotion_harness();
+    group.succession_time = seconds(5);
+    group.run(seconds(3));
+    group.leave(group.servers[2]);
+    group.run(seconds(15));
+    group.leave(group.servers[2]);
+    group.run(seconds(5));
+    group.deafen(group.servers[1], seconds(12));
+    group.run(milliseconds(2500));
+    group.crash(group.servers[0], seconds(20));
+    group.run(seconds(10));
+    CHECK(group.lost == 0);
+    CHECK(group.promoted == std::vector<std::string>{"c"});
+    CHECK(group.is_accepting());
+}
+
 // By hand only: --no-skip --test-case="promotion search: long run"
 TEST_CASE("promotion search: long run" * doctest::skip())
 {
