coordination: a pause does not count while an order to resume may come late

Cause: an order to resume without an answer was repeated and then forgotten. It carries no term, so that it lifts any later pause; the replica received again after the positions had been compared. Change: orders to resume without an answer are counted by server and start. A replica with such an order is preferred among equals and otherwise counts as a log that is not known. The order is over with the server's next start, or once the server was seen to receive again after a confirmed pause.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -190,6 +190,16 @@
         log_position position;
         std::uint64_t started_at = 0;
     };
+    /// Orders to resume that got no reply and may still be carried out.
+    struct open_resume_orders
+    {
+        std::size_t count = 0;
+        /// A server that starts again has none.
+        std::uint64_t started_at = 0;
+        /// Whether the server was seen paused since the last order that it
+        /// answered; an order that is carried out late ends this.
+        bool is_paused = false;
+    };
     struct supervised_group
     {
         phase stage = phase::watching;
@@ -227,8 +237,9 @@
         bool is_confirmed = false;
         /// Replicas that may be paused although no change is under way.
         std::set<target_id> paused;
-        /// Orders to receive again without a reply so far.
-        std::map<server_call_number, target_id> resumes;
+        /// Orders to receive again that may still be answered.
+        std::map<server_call_number, open_call> resumes;
+        std::map<target_id, open_resume_orders> open_resumes;
         time_point next_patrol;
         std::optional<sampled_position> primary_sample;
         std::map<target_id, departure_bound> bounds_of_departed;
@@ -268,6 +279,19 @@
                   duration pause) -> void;
     auto resume_watching(time_point now, supervised_group& group,
                          duration pause) -> void;
+    /// Forgets what a server was told at an earlier start.
+    static auto forget_restarted(supervised_group& group,
+                                 const server_directory& directory) -> void;
+    /// Notes whether the server is paused, and whether an order to resume was
+    /// carried out late.
+    static auto note_pause(supervised_group& group, const open_call& call,
+                           const server_log_status& status) -> void;
+    /// A pause that ends now says nothing about late orders.
+    static auto forget_pauses(supervised_group& group, const target_id& server)
+        -> void;
+    [[nodiscard]] static auto may_resume_late(const supervised_group& group,
+                                              const server_record& server)
+        -> bool;
     /// Undoes what an abandoned change left behind; returns whether that is
     /// still under way.
     auto restore(time_point now, const group_id& id, supervised_group& group,
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -128,6 +128,7 @@
         return;
     }
     for (auto& [id, group] : groups_) {
+        forget_restarted(group, directory);
         if (now < group.not_before) {
             continue;
         }
@@ -251,8 +252,18 @@
 {
     for (auto& [id, group] : groups_) {
         if (const auto resumed = group.resumes.extract(number)) {
-            if (!status) {
-                group.paused.insert(resumed.mapped());
+            const auto& order = resumed.mapped();
+            if (status) {
+                // This order ended the pause, not an earlier one.
+                forget_pauses(group, order.server);
+            } else {
+                auto& open = group.open_resumes[order.server];
+                open.count = open.started_at == order.started_at
+                                 ? open.count + 1
+                                 : std::size_t{1};
+                open.started_at = order.started_at;
+                open.is_paused = false;
+                group.paused.insert(order.server);
             }
             return;
         }
@@ -270,6 +281,7 @@
             group.statuses.at(call.server).received < status->received;
         group.progress_at = is_progress ? now : group.progress_at;
         group.statuses[call.server] = *status;
+        note_pause(group, call, *status);
         const auto is_primary = status->role == server_role::primary;
         const auto is_changing =
             group.stage == phase::pausing || group.stage == phase::handing_over;
@@ -358,6 +370,10 @@
     -> std::optional<target_id>
 {
     auto best = std::optional<target_id>();
+    const auto may_receive = [&](const target_id& id) {
+        const auto* const known = directory.find(id);
+        return known != nullptr && may_resume_late(group, known->record);
+    };
     const auto is_better = [&](const target_id& id,
                                const server_log_status& status) {
         const auto& other = group.statuses.at(*best).received;
@@ -366,6 +382,11 @@
         if (group.synchronous_replicas > 0 && status.received != other) {
             return status.received > other;
         }
+        if (group.synchronous_replicas > 0 &&
+            may_receive(id) != may_receive(*best)) {
+            // What it receives after all is not lost if it leads.
+            return may_receive(id);
+        }
         if (is_id_ready != is_best_ready) {
             return is_id_ready;
         }
@@ -494,7 +515,7 @@
     if (!group.resumes.empty()) {
         // It might be carried out after the order to pause. The environment
         // reports its end soon, with or without a reply.
-        postpone(now, id, group, group.resumes.begin()->second,
+        postpone(now, id, group, group.resumes.begin()->second.server,
                  "an order to receive again is under way", milliseconds(50));
         return;
     }
@@ -540,6 +561,9 @@
     if (outcome == promotion_outcome::accepted) {
         // Orders before this one are refused from now on.
         known.has_open_promotion = false;
+        for (const auto& [server, open] : known.open_resumes) {
+            forget_pauses(known, server);
+        }
         known.is_confirmed = true;
         known.stage = phase::settling;
         known.since = now;
--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -40,7 +40,11 @@
     if (const auto best = best_replica(group, directory)) {
         const auto missing = missing_logs(
             now, id, group, directory, group.statuses.at(*best).received,
-            [&](const auto& each) { return has_confirmed(group, each); });
+            [&](const auto& each) {
+                // A late order to resume may lift the pause of another one.
+                return has_confirmed(group, each) &&
+                       (each.id == *best || !may_resume_late(group, each));
+            });
         if (missing.size() <= group.synchronous_replicas) {
             promote(now, id, group, *best);
             return;
@@ -206,6 +210,58 @@
     return missing;
 }
 
+auto primary_supervisor::forget_restarted(supervised_group& group,
+                                          const server_directory& directory)
+    -> void
+{
+    const auto has_restarted = [&](const target_id& server,
+                                   std::uint64_t started_at) {
+        const auto* const known = directory.find(server);
+        return known != nullptr && known->record.started_at != started_at;
+    };
+    std::erase_if(group.open_resumes, [&](const auto& each) {
+        return has_restarted(each.first, each.second.started_at);
+    });
+}
+
+auto primary_supervisor::note_pause(supervised_group& group,
+                                    const open_call& call,
+                                    const server_log_status& status) -> void
+{
+    const auto found = group.open_resumes.find(call.server);
+    if (found == group.open_resumes.end() ||
+        found->second.started_at != call.started_at)
+    {
+        return;
+    }
+    auto& open = found->second;
+    if (status.paused_by > term(0)) {
+        open.is_paused = true;
+    } else if (open.is_paused) {
+        open.is_paused = false;
+        if (--open.count == 0) {
+            group.open_resumes.erase(found);
+        }
+    }
+}
+
+auto primary_supervisor::forget_pauses(supervised_group& group,
+                                       const target_id& server) -> void
+{
+    const auto found = group.open_resumes.find(server);
+    if (found != group.open_resumes.end()) {
+        found->second.is_paused = false;
+    }
+}
+
+auto primary_supervisor::may_resume_late(const supervised_group& group,
+                                         const server_record& server) -> bool
+{
+    const auto found = group.open_resumes.find(server.id);
+    return found != group.open_resumes.end() &&
+           found->second.started_at == server.started_at;
+}
+
 auto primary_supervisor::restore(time_point now, const group_id& id,
                                  supervised_group& group,
                                  const server_directory& directory) -> bool
@@ -234,7 +290,8 @@
             hooks_.log("replica_resumed", id, server,
                        "no change is under way at " + group.primary.value());
             last_call_ = last_call_.next();
-            group.resumes[last_call_] = server;
+            group.resumes[last_call_] = {server, known->record.started_at,
+                                         server_order::resume, now};
             hooks_.call_server(
                 {last_call_, known->record, server_order::resume, term()});
         }
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -634,6 +634,25 @@
           "nothing")
 {
     auto settings = search_settings{};
+    settings.kinds = {fault::none,
+                      fault::crash_primary,
+                      fault::crash_primary_for_a_second,
+                      fault::restart_far_replica,
+                      fault::late_pauses,
+                      fault::late_resume,
+                      fault::late_step_downs};
+    SUBCASE("soon after each other")
+    {
+        settings.phase_length = milliseconds(400);
+    }
+    SUBCASE("after an order to promote")
+    {
+        settings.phase_length = milliseconds(900);
+    }
+    SUBCASE("after a change")
+    {
+        settings.phase_length = milliseconds(2600);
+    }
     SUBCASE("a second leaving under one id")
     {
         settings.kinds = {fault::none, fault::crash_primary,
@@ -646,6 +665,32 @@
     check(search(settings));
 }
 
+// An order to resume without an answer was carried out during the next change.
+TEST_CASE("promotion: a late order to resume lifts no pause that matters")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.late_orders[server_order::resume] = 1;
+    group.late_order_delay = seconds(60);
+    group.crash(group.servers[0], milliseconds(1100));
+    group.run(seconds(4));
+    REQUIRE(group.promoted == std::vector<std::string>{"c"});
+    group.is_writing = false;
+    group.run(seconds(1));
+    auto& former = group.servers[2];
+    former.is_running = false;
+    while (group.orders_to_promote == 1) {
+        group.run(promotion_harness::step);
+    }
+    // The late order is carried out, and the primary is back.
+    group.servers[1].paused_by = 0;
+    former.is_running = true;
+    group.is_writing = true;
+    group.run(seconds(6));
+    CHECK(group.lost == 0);
+    CHECK(group.is_accepting());
+}
+
 // The end of a log that was noted when a server left was taken for that of its
 // next start.
 TEST_CASE("promotion: a server may leave twice under one id")
