coordination: a primary acknowledges nothing while another's promotion is open

Cause: two calls to promote got no answer. The second one, for the present primary, made the supervisor forget the first one, for a replica. The other replica started again, which ended its pause, so that the primary acknowledged through it; then the first call was carried out. Change: servers with open calls are a set that only an accepted later call empties. While one of them may take the lead, the former primary is told to step down until it confirms, and the replicas are paused again and again. The named server follows if it holds all, else the former primary leads again; if the named server receives, the primary goes on serving. What a server reported holds for one start of it. A pause cannot be relied on over a restart; a primary that has stepped down can.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -183,6 +183,12 @@
         time_point asked_at;
         log_position position;
     };
+    /// State that a server reported, which holds for that start of it.
+    struct reported_status
+    {
+        server_log_status status;
+        std::uint64_t started_at = 0;
+    };
     /// A position at or above the end of the log of a server that left, which
     /// holds for that start of it.
     struct departure_bound
@@ -207,13 +213,14 @@
         time_point not_before;
         std::map<server_call_number, open_call> calls;
         /// Newest states since the survey began.
-        std::map<target_id, server_log_status> statuses;
+        std::map<target_id, reported_status> statuses;
         /// Servers that confirmed the order of the present phase, with their
         /// start: a replica that starts again receives again.
         std::map<target_id, std::uint64_t> confirmed;
         target_id primary;
-        /// The last server that claimed to be primary.
+        /// The last server that claimed to be primary, and its start.
         target_id former;
+        std::uint64_t former_start = 0;
         target_id candidate;
         bool is_planned = false;
         std::uint32_t synchronous_replicas = 0;
@@ -228,18 +235,26 @@
         /// When a reply last showed progress of a replica in a hand-over.
         time_point progress_at;
 
-        /// Whether an order to promote may still be carried out.
-        bool has_open_promotion = false;
+        /// Servers for which an order to promote got no answer. It may still be
+        /// carried out until a later one is accepted.
+        std::set<target_id> open_promotions;
         /// Whether the survey is to confirm the present primary by an order.
         bool is_confirming = false;
         /// Whether the present primary was confirmed since the last order for
         /// another server.
         bool is_confirmed = false;
-        /// Replicas that may be paused although no change is under way.
-        std::set<target_id> paused;
+        /// Replicas that may be paused although no change is under way, with
+        /// their start.
+        std::map<target_id, std::uint64_t> paused;
         /// Orders to receive again that may still be answered.
         std::map<server_call_number, open_call> resumes;
         std::map<target_id, open_resume_orders> open_resumes;
+        /// Orders of `hold` that may still be answered.
+        std::map<server_call_number, open_call> holds;
+        time_point next_hold;
+        /// The primary that was told to step down in the present change and
+        /// confirmed it, with its start.
+        std::optional<std::pair<target_id, std::uint64_t>> stepped_down;
         time_point next_patrol;
         std::optional<sampled_position> primary_sample;
         std::map<target_id, departure_bound> bounds_of_departed;
@@ -279,7 +294,12 @@
                   duration pause) -> void;
     auto resume_watching(time_point now, supervised_group& group,
                          duration pause) -> void;
-    /// Forgets what a server was told at an earlier start.
+    /// Keeps the former primary from acknowledging while an order to promote
+    /// another server may take effect, with synchronous replicas: a replica
+    /// receives again after its restart or by a late order to resume.
+    auto hold(time_point now, const group_id& id, supervised_group& group,
+              const server_directory& directory) -> void;
+    /// Forgets what a server reported at an earlier start.
     static auto forget_restarted(supervised_group& group,
                                  const server_directory& directory) -> void;
     /// Notes whether the server is paused, and whether an order to resume was
@@ -292,6 +312,15 @@
     [[nodiscard]] static auto may_resume_late(const supervised_group& group,
                                               const server_record& server)
         -> bool;
+    /// Whether an order to promote another server than `server` may still be
+    /// carried out.
+    [[nodiscard]] static auto has_open_promotion(const supervised_group& group,
+                                                 const target_id& server)
+        -> bool;
+    /// Whether orders are open for a single other server than the primary, and
+    /// that one receives what the primary acknowledges.
+    [[nodiscard]] static auto
+    receives_for_open_promotion(const supervised_group& group) -> bool;
     /// Undoes what an abandoned change left behind; returns whether that is
     /// still under way.
     auto restore(time_point now, const group_id& id, supervised_group& group,
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -129,6 +129,7 @@
     }
     for (auto& [id, group] : groups_) {
         forget_restarted(group, directory);
+        hold(now, id, group, directory);
         if (now < group.not_before) {
             continue;
         }
@@ -149,15 +150,16 @@
             break;
         case phase::promoting:
             if (now - group.since > promotion_timeout) {
-                group.has_open_promotion = true;
+                group.open_promotions.insert(group.candidate);
                 resume_watching(now, group, duration::zero());
             }
             break;
         case phase::settling: {
             const auto* const claimed = directory.claimed_primary(id);
-            if ((claimed != nullptr && claimed->record.id == group.candidate) ||
-                now - group.since > settling_timeout)
-            {
+            const auto has_claimed =
+                claimed != nullptr && claimed->record.id == group.candidate;
+            if (has_claimed || now - group.since > settling_timeout) {
+                group.is_confirmed = group.is_confirmed && has_claimed;
                 resume_watching(now, group, duration::zero());
             }
             break;
@@ -178,11 +180,18 @@
         group.primary = target_id();
         group.is_planned = false;
         group.reason = "no server claims to be primary";
+        if (group.stepped_down) {
+            group.primary = group.stepped_down->first;
+            group.reason = "the primary has stepped down";
+        }
         survey(now, id, group, directory);
         return;
     }
-    if (group.former != primary->record.id) {
+    if (group.former != primary->record.id ||
+        group.former_start != primary->record.started_at)
+    {
         group.former = primary->record.id;
+        group.former_start = primary->record.started_at;
         group.earlier_position.reset();
         group.planned_since.reset();
         group.primary_sample.reset();
@@ -263,7 +272,18 @@
                                  : std::size_t{1};
                 open.started_at = order.started_at;
                 open.is_paused = false;
-                group.paused.insert(order.server);
+                group.paused[order.server] = order.started_at;
+            }
+            return;
+        }
+        if (const auto held = group.holds.extract(number)) {
+            const auto& order = held.mapped();
+            if (status && order.order == server_order::step_down &&
+                status->role == server_role::replica)
+            {
+                group.stepped_down = {order.server, order.started_at};
+            } else if (status) {
+                note_pause(group, order, *status);
             }
             return;
         }
@@ -276,11 +296,12 @@
         if (!status) {
             return;
         }
+        const auto known = group.statuses.find(call.server);
         const auto is_progress =
-            !group.statuses.contains(call.server) ||
-            group.statuses.at(call.server).received < status->received;
+            known == group.statuses.end() ||
+            known->second.status.received < status->received;
         group.progress_at = is_progress ? now : group.progress_at;
-        group.statuses[call.server] = *status;
+        group.statuses[call.server] = {*status, call.started_at};
         note_pause(group, call, *status);
         const auto is_primary = status->role == server_role::primary;
         const auto is_changing =
@@ -293,7 +314,7 @@
         switch (group.stage) {
         case phase::watching:
             if (status->paused_by > term(0)) {
-                group.paused.insert(call.server);
+                group.paused[call.server] = call.started_at;
             }
             if (is_primary && call.server == group.primary) {
                 group.primary_sample = {call.sent_at, status->received};
@@ -328,8 +349,9 @@
 auto primary_supervisor::newest_term(const supervised_group& group) -> term
 {
     auto newest = term(0);
-    for (const auto& [id, status] : group.statuses) {
-        newest = std::max({newest, status.newest, status.received.group_term});
+    for (const auto& [id, known] : group.statuses) {
+        newest = std::max(
+            {newest, known.status.newest, known.status.received.group_term});
     }
     return newest;
 }
@@ -376,7 +398,7 @@
     };
     const auto is_better = [&](const target_id& id,
                                const server_log_status& status) {
-        const auto& other = group.statuses.at(*best).received;
+        const auto& other = group.statuses.at(*best).status.received;
         const auto is_id_ready = is_ready(directory, id);
         const auto is_best_ready = is_ready(directory, *best);
         if (group.synchronous_replicas > 0 && status.received != other) {
@@ -391,18 +413,17 @@
             return is_id_ready;
         }
         // An earlier order for it may still be carried out.
-        const auto is_ordered =
-            group.has_open_promotion && id == group.candidate;
+        const auto is_ordered = group.open_promotions.contains(id);
         return status.received != other ? status.received > other : is_ordered;
     };
-    for (const auto& [id, status] : group.statuses) {
+    for (const auto& [id, reported] : group.statuses) {
         const auto* const known = directory.find(id);
         if (id == group.primary || known == nullptr ||
             known->record.state == server_availability::gone)
         {
             continue;
         }
-        if (!best || is_better(id, status)) {
+        if (!best || is_better(id, reported.status)) {
             best = id;
         }
     }
@@ -414,9 +435,10 @@
     -> std::optional<target_id>
 {
     auto best = std::optional<target_id>();
-    for (const auto& [id, status] : group.statuses) {
+    for (const auto& [id, known] : group.statuses) {
         if (id != group.primary && is_ready(directory, id) &&
-            (!best || status.received > group.statuses.at(*best).received))
+            (!best ||
+             known.status.received > group.statuses.at(*best).status.received))
         {
             best = id;
         }
@@ -429,8 +451,9 @@
                                        const server_directory& directory)
     -> void
 {
-    for (const auto& [name, status] : group.statuses) {
-        if (status.role == server_role::primary && name != group.primary) {
+    for (const auto& [name, known] : group.statuses) {
+        if (known.status.role == server_role::primary && name != group.primary)
+        {
             // Its announcement has not arrived yet.
             resume_watching(now, group, false_alarm_backoff);
             return;
@@ -450,15 +473,15 @@
                                         const server_directory& directory)
     -> void
 {
-    const auto& primary = group.statuses.at(group.primary);
+    const auto& primary = group.statuses.at(group.primary).status;
     if (primary.role == server_role::replica) {
         // An earlier order was carried out.
         start_hand_over(now, id, group);
         return;
     }
-    for (const auto& [server, status] : group.statuses) {
-        if (status.paused_by > term(0)) {
-            group.paused.insert(server);
+    for (const auto& [server, known] : group.statuses) {
+        if (known.status.paused_by > term(0)) {
+            group.paused[server] = known.started_at;
         }
     }
     const auto best = best_ready_replica(group, directory);
@@ -472,7 +495,7 @@
     const auto is_late =
         group.synchronous_replicas == 0 &&
         now - group.planned_since.value_or(now) > keep_up_timeout;
-    if (group.statuses.at(*best).received < goal && !is_late) {
+    if (group.statuses.at(*best).status.received < goal && !is_late) {
         // Until one does, the primary serves better than nobody.
         postpone(now, id, group, *best, "no ready replica keeps up",
                  keep_up_interval);
@@ -495,9 +518,10 @@
     }
     if (group.synchronous_replicas == 0) {
         auto furthest = *best;
-        for (const auto& [server, status] : group.statuses) {
+        for (const auto& [server, known] : group.statuses) {
             if (server != group.primary &&
-                status.received > group.statuses.at(furthest).received)
+                known.status.received >
+                    group.statuses.at(furthest).status.received)
             {
                 furthest = server;
             }
@@ -520,7 +544,7 @@
         return;
     }
     const auto missing = missing_logs(
-        now, id, group, directory, group.statuses.at(*best).received,
+        now, id, group, directory, group.statuses.at(*best).status.received,
         [&](const auto& each) { return group.statuses.contains(each.id); });
     if (missing.size() > group.synchronous_replicas) {
         // They may be the only ones that hold a commit.
@@ -543,6 +567,7 @@
 {
     group.stage = phase::promoting;
     group.since = now;
+    group.next_hold = now;
     group.calls.clear();
     group.candidate = candidate;
     group.is_confirmed = group.is_confirmed && candidate == group.primary;
@@ -560,7 +585,7 @@
     auto& known = found->second;
     if (outcome == promotion_outcome::accepted) {
         // Orders before this one are refused from now on.
-        known.has_open_promotion = false;
+        known.open_promotions.clear();
         for (const auto& [server, open] : known.open_resumes) {
             forget_pauses(known, server);
         }
@@ -575,7 +600,7 @@
         return;
     }
     if (outcome == promotion_outcome::unknown) {
-        known.has_open_promotion = true;
+        known.open_promotions.insert(known.candidate);
     }
     hooks_.log("promotion_failed", group, known.candidate,
                outcome == promotion_outcome::refused ? "refused" : "no answer");
--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -21,6 +21,8 @@
 /// Pause before a primary that did not report is asked again whether it leads.
 constexpr auto confirmation_interval = std::chrono::seconds(1);
 constexpr auto patrol_interval = std::chrono::seconds(1);
+/// Pause between two orders to a server that is held.
+constexpr auto hold_interval = milliseconds(150);
 /// Time in which a server that left is succeeded by one with its log.
 constexpr auto succession_timeout = std::chrono::seconds(10);
 
@@ -39,7 +41,7 @@
     const auto replicas = others(id, group, directory);
     if (const auto best = best_replica(group, directory)) {
         const auto missing = missing_logs(
-            now, id, group, directory, group.statuses.at(*best).received,
+            now, id, group, directory, group.statuses.at(*best).status.received,
             [&](const auto& each) {
                 // A late order to resume may lift the pause of another one.
                 return has_confirmed(group, each) &&
@@ -57,7 +59,7 @@
     }
     auto receiving = std::vector<const server_record*>();
     for (const auto* const each : replicas) {
-        group.paused.insert(each->id);
+        group.paused[each->id] = each->started_at;
         if (!has_confirmed(group, *each)) {
             receiving.push_back(each);
         }
@@ -87,7 +89,8 @@
         resume_watching(now, group, duration::zero());
         return;
     }
-    const auto has_stepped_down = former->second.role == server_role::replica;
+    const auto& reported = former->second.status;
+    const auto has_stepped_down = reported.role == server_role::replica;
     if (!has_stepped_down) {
         const auto is_synchronous = group.synchronous_replicas > 0;
         if (now - group.since <=
@@ -109,7 +112,9 @@
         group.progress_at = now;
     }
     const auto best = best_ready_replica(group, directory);
-    if (best && group.statuses.at(*best).received >= former->second.received) {
+    if (best && !has_open_promotion(group, *best) &&
+        group.statuses.at(*best).status.received >= reported.received)
+    {
         promote(now, id, group, *best);
         return;
     }
@@ -151,8 +156,9 @@
     // What was acknowledged is held by the former primary and another server.
     const auto is_safe =
         are_known && best && is_ready(directory, *best) &&
+        !has_open_promotion(group, *best) &&
         missing_logs(
-            now, id, group, directory, group.statuses.at(*best).received,
+            now, id, group, directory, group.statuses.at(*best).status.received,
             [&](const auto& each) {
                 return has_confirmed(group, each);
             }).size() <= group.synchronous_replicas;
@@ -219,9 +225,17 @@
         const auto* const known = directory.find(server);
         return known != nullptr && known->record.started_at != started_at;
     };
+    std::erase_if(group.statuses, [&](const auto& each) {
+        return has_restarted(each.first, each.second.started_at);
+    });
     std::erase_if(group.open_resumes, [&](const auto& each) {
         return has_restarted(each.first, each.second.started_at);
     });
+    if (group.stepped_down &&
+        has_restarted(group.stepped_down->first, group.stepped_down->second))
+    {
+        group.stepped_down.reset();
+    }
 }
 
 auto primary_supervisor::note_pause(supervised_group& group,
@@ -262,18 +276,75 @@
            found->second.started_at == server.started_at;
 }
 
+auto primary_supervisor::has_open_promotion(const supervised_group& group,
+                                            const target_id& server) -> bool
+{
+    return std::any_of(group.open_promotions.begin(),
+                       group.open_promotions.end(),
+                       [&](const auto& each) { return each != server; });
+}
+
+auto primary_supervisor::receives_for_open_promotion(
+    const supervised_group& group) -> bool
+{
+    auto others = group.open_promotions;
+    others.erase(group.primary);
+    return others.size() == 1 && !group.paused.contains(*others.begin());
+}
+
+auto primary_supervisor::hold(time_point now, const group_id& id,
+                              supervised_group& group,
+                              const server_directory& directory) -> void
+{
+    const auto is_ordered =
+        group.stage == phase::promoting || group.stage == phase::settling;
+    const auto may_change = has_open_promotion(group, group.primary) ||
+                            (is_ordered && group.candidate != group.primary);
+    if (group.synchronous_replicas == 0 || !may_change) {
+        group.stepped_down.reset();
+        return;
+    }
+    const auto* const primary = directory.find(group.primary);
+    if (primary == nullptr || group.is_planned || now < group.next_hold ||
+        (group.stepped_down && group.stepped_down->first == group.primary))
+    {
+        return;
+    }
+    group.next_hold = now + hold_interval;
+    const auto order = [&](const server_record& server, server_order what) {
+        const auto is_called = std::any_of(
+            group.holds.begin(), group.holds.end(),
+            [&](const auto& each) { return each.second.server == server.id; });
+        if (!is_called) {
+            last_call_ = last_call_.next();
+            group.holds[last_call_] = {server.id, server.started_at, what, now};
+            hooks_.call_server({last_call_, server, what, group.order_term});
+        }
+    };
+    if (is_ordered || !receives_for_open_promotion(group)) {
+        order(primary->record, server_order::step_down);
+    }
+    for (const auto* const each : others(id, group, directory)) {
+        // What the only candidate receives is not lost.
+        const auto is_candidate = !has_open_promotion(group, each->id) &&
+                                  (!is_ordered || each->id == group.candidate);
+        if (!is_candidate) {
+            group.paused[each->id] = each->started_at;
+            order(*each, server_order::pause);
+        }
+    }
+}
+
 auto primary_supervisor::restore(time_point now, const group_id& id,
                                  supervised_group& group,
                                  const server_directory& directory) -> bool
 {
-    if (group.has_open_promotion && group.candidate == group.primary) {
-        // To carry it out again changes nothing.
-        group.has_open_promotion = false;
-    }
-    if (group.paused.empty() && !group.has_open_promotion) {
+    // To carry out an order for the present primary changes nothing.
+    const auto is_open = has_open_promotion(group, group.primary);
+    if (group.paused.empty() && !is_open) {
         return false;
     }
-    if (!group.is_confirmed || group.has_open_promotion) {
+    if (!group.is_confirmed || is_open) {
         // An order of this leader or an earlier one may still be carried out.
         // It must not find that replicas have received more since.
         group.reason = "an earlier order may still be carried out";
@@ -281,16 +352,16 @@
         group.is_confirming = true;
         return true;
     }
-    for (const auto& server : group.paused) {
+    for (const auto& [server, started_at] : group.paused) {
         const auto* const known = directory.find(server);
         if (known != nullptr &&
             known->record.state != server_availability::gone &&
-            server != group.primary)
+            server != group.primary && known->record.started_at == started_at)
         {
             hooks_.log("replica_resumed", id, server,
                        "no change is under way at " + group.primary.value());
             last_call_ = last_call_.next();
-            group.resumes[last_call_] = {server, known->record.started_at,
+            group.resumes[last_call_] = {server, started_at,
                                          server_order::resume, now};
             hooks_.call_server(
                 {last_call_, known->record, server_order::resume, term()});
@@ -321,9 +392,15 @@
         }
         return;
     }
-    if (found->second.role == server_role::replica) {
+    const auto& status = found->second.status;
+    const auto is_unsafe = group.synchronous_replicas > 0 &&
+                           has_open_promotion(group, group.primary) &&
+                           !receives_for_open_promotion(group);
+    if (status.role == server_role::replica || is_unsafe) {
+        // While an order for another server may be carried out, a replica that
+        // starts again would let the primary acknowledge what that one lacks.
         start_hand_over(now, id, group);
-    } else if (found->second.newest >= newest_term(group)) {
+    } else if (status.newest >= newest_term(group)) {
         promote(now, id, group, group.primary);
     } else {
         postpone(now, id, group, group.primary, "another server leads by now",
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -628,8 +628,9 @@
     }
 }
 
-// Facts outlived what had made them true, such as the end of a log that was
-// noted for an earlier start.
+// Facts outlived what had made them true: an order without an answer counted as
+// ended, a pause as lasting over a restart, the end of a log as that of a later
+// start.
 TEST_CASE("promotion search: late orders, restarts and second leavings lose "
           "nothing")
 {
@@ -640,7 +641,9 @@
                       fault::restart_far_replica,
                       fault::late_pauses,
                       fault::late_resume,
-                      fault::late_step_downs};
+                      fault::late_step_downs,
+                      fault::two_late_promotions,
+                      fault::change_leader};
     SUBCASE("soon after each other")
     {
         settings.phase_length = milliseconds(400);
@@ -665,6 +668,26 @@
     check(search(settings));
 }
 
+// Two orders to promote got no answer, and a replica that was paused started
+// again: the primary acknowledged what the ordered server lacked.
+TEST_CASE(
+    "promotion: a replica that starts again acknowledges nothing while an "
+    "order is open")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.late_promotions = {milliseconds(2300), seconds(8)};
+    group.crash(group.servers[0], milliseconds(1100));
+    while (group.orders_to_promote == 0) {
+        group.run(promotion_harness::step);
+    }
+    group.crash(group.servers[1], milliseconds(600));
+    group.run(seconds(15));
+    CHECK(group.lost == 0);
+    CHECK(group.is_accepting());
+    CHECK(group.longest_gap < seconds(6));
+}
+
 // An order to resume without an answer was carried out during the next change.
 TEST_CASE("promotion: a late order to resume lifts no pause that matters")
 {
