state, coordination, transport: calls to promote are recorded before they are sent

Cause: the server of the open call stays paused, so that what the primary acknowledges through another replica is not in its log. To let it receive is safe only if no call for another server is open, and a new control leader did not know the calls of the one before. Change: with synchronous replicas, the servers that calls may make primary are in the replicated log before a call is sent; a new leader starts with them. Once a call is sent and no other one is open, its server receives. One commit of the log in a change buys knowledge that no time-out can give.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -102,6 +102,10 @@
     /// present primary the order changes nothing, but makes all earlier ones
     /// void that have not been carried out.
     std::function<void(const group_id&, const target_id&)> promote;
+    /// Replicates which servers orders to promote may make primary;
+    /// `on_recorded` follows once it is committed. Needed for synchronous
+    /// replicas.
+    std::function<void(const group_id&, const std::set<target_id>&)> record;
     /// Writes a log line about a group.
     std::function<void(std::string_view event, const group_id&,
                        const target_id&, const std::string& reason)>
@@ -135,6 +139,9 @@
                    const std::optional<server_log_status>& status) -> void;
     auto on_promotion(time_point now, const group_id& group,
                       promotion_outcome outcome) -> void;
+    /// A record of this leader or of an earlier one is committed.
+    auto on_recorded(const group_id& group, std::set<target_id> servers)
+        -> void;
 
     /// Supervises a group of the configuration; `count` replicas must hold a
     /// commit before it is acknowledged. Announcements of other groups are
@@ -238,6 +245,8 @@
         /// Servers for which an order to promote got no answer. It may still be
         /// carried out until a later one is accepted.
         std::set<target_id> open_promotions;
+        /// When a record was asked for last.
+        std::optional<time_point> record_asked_at;
         /// Whether the survey is to confirm the present primary by an order.
         bool is_confirming = false;
         /// Whether the present primary was confirmed since the last order for
@@ -287,8 +296,26 @@
     auto finish_hand_over(time_point now, const group_id& id,
                           supervised_group& group,
                           const server_directory& directory) -> void;
+    /// Orders the promotion once it is recorded; until then the present phase
+    /// goes on and decides again.
     auto promote(time_point now, const group_id& id, supervised_group& group,
                  const target_id& candidate) -> void;
+    /// Whether the record names all servers that orders may make primary, once
+    /// one for `candidate` is given; asks for it if not.
+    [[nodiscard]] auto is_recorded(time_point now, const group_id& id,
+                                   supervised_group& group,
+                                   const target_id& candidate) -> bool;
+    /// Lets the server of the only open order receive, so that its log holds
+    /// what the former primary may still acknowledge.
+    auto resume_candidate(time_point now, const group_id& id,
+                          supervised_group& group,
+                          const server_directory& directory) -> void;
+    auto resume(time_point now, supervised_group& group,
+                const server_record& server) -> void;
+    /// The only other server than the primary for which orders are open, if it
+    /// is not paused.
+    [[nodiscard]] static auto receiving_candidate(const supervised_group& group)
+        -> std::optional<target_id>;
     auto postpone(time_point now, const group_id& id, supervised_group& group,
                   const target_id& server, const std::string& reason,
                   duration pause) -> void;
@@ -317,10 +344,6 @@
     [[nodiscard]] static auto has_open_promotion(const supervised_group& group,
                                                  const target_id& server)
         -> bool;
-    /// Whether orders are open for a single other server than the primary, and
-    /// that one receives what the primary acknowledges.
-    [[nodiscard]] static auto
-    receives_for_open_promotion(const supervised_group& group) -> bool;
     /// Undoes what an abandoned change left behind; returns whether that is
     /// still under way.
     auto restore(time_point now, const group_id& id, supervised_group& group,
@@ -386,6 +409,8 @@
     time_point leading_since_;
     server_call_number last_call_;
     std::map<group_id, supervised_group> groups_;
+    /// Committed records, by group.
+    std::map<group_id, std::set<target_id>> recorded_;
     /// By server, then by observer.
     std::map<target_id, std::map<std::string, sighting>> sightings_;
 };
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -32,6 +32,8 @@
 /// it is the primary.
 constexpr auto promotion_timeout = milliseconds(1500);
 constexpr auto settling_timeout = milliseconds(2500);
+/// Pause before a record that was not committed is asked for again.
+constexpr auto record_interval = milliseconds(500);
 /// A new control leader first collects announcements for this long.
 constexpr auto listening_time = milliseconds(1500);
 /// A group in which no server claims to be primary gets one after this long.
@@ -53,6 +55,11 @@
         // Another leader may have given orders meanwhile.
         group.is_confirmed = false;
         group.next_patrol = now;
+        group.record_asked_at.reset();
+        if (group.synchronous_replicas > 0) {
+            const auto& recorded = recorded_[id];
+            group.open_promotions.insert(recorded.begin(), recorded.end());
+        }
     }
 }
 
@@ -130,6 +137,7 @@
     for (auto& [id, group] : groups_) {
         forget_restarted(group, directory);
         hold(now, id, group, directory);
+        resume_candidate(now, id, group, directory);
         if (now < group.not_before) {
             continue;
         }
@@ -561,10 +569,43 @@
     pause_replicas(now, id, group, directory);
 }
 
+auto primary_supervisor::is_recorded(time_point now, const group_id& id,
+                                     supervised_group& group,
+                                     const target_id& candidate) -> bool
+{
+    if (group.synchronous_replicas == 0 || !hooks_.record) {
+        return true;
+    }
+    auto servers = group.open_promotions;
+    servers.insert(candidate);
+    const auto& recorded = recorded_[id];
+    if (std::includes(recorded.begin(), recorded.end(), servers.begin(),
+                      servers.end()))
+    {
+        group.record_asked_at.reset();
+        return true;
+    }
+    if (!group.record_asked_at ||
+        now - *group.record_asked_at > record_interval) {
+        group.record_asked_at = now;
+        hooks_.record(id, servers);
+    }
+    return false;
+}
+
+auto primary_supervisor::on_recorded(const group_id& group,
+                                     std::set<target_id> servers) -> void
+{
+    recorded_[group] = std::move(servers);
+}
+
 auto primary_supervisor::promote(time_point now, const group_id& id,
                                  supervised_group& group,
                                  const target_id& candidate) -> void
 {
+    if (!is_recorded(now, id, group, candidate)) {
+        return;
+    }
     group.stage = phase::promoting;
     group.since = now;
     group.next_hold = now;
@@ -586,6 +627,11 @@
     if (outcome == promotion_outcome::accepted) {
         // Orders before this one are refused from now on.
         known.open_promotions.clear();
+        const auto& recorded = recorded_[group];
+        if (hooks_.record && !recorded.empty() &&
+            recorded != std::set{known.candidate}) {
+            hooks_.record(group, {known.candidate});
+        }
         for (const auto& [server, open] : known.open_resumes) {
             forget_pauses(known, server);
         }
--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -39,13 +39,21 @@
         return;
     }
     const auto replicas = others(id, group, directory);
-    if (const auto best = best_replica(group, directory)) {
+    const auto best = best_replica(group, directory);
+    // An order for it may be carried out at any time, so it receives.
+    const auto receiver = receiving_candidate(group);
+    const auto is_spared = [&](const auto& each) {
+        return receiver == best && each.id == receiver &&
+               group.statuses.contains(each.id);
+    };
+    if (best) {
         const auto missing = missing_logs(
             now, id, group, directory, group.statuses.at(*best).status.received,
             [&](const auto& each) {
                 // A late order to resume may lift the pause of another one.
-                return has_confirmed(group, each) &&
-                       (each.id == *best || !may_resume_late(group, each));
+                return is_spared(each) ||
+                       (has_confirmed(group, each) &&
+                        (each.id == *best || !may_resume_late(group, each)));
             });
         if (missing.size() <= group.synchronous_replicas) {
             promote(now, id, group, *best);
@@ -59,6 +67,9 @@
     }
     auto receiving = std::vector<const server_record*>();
     for (const auto* const each : replicas) {
+        if (is_spared(*each)) {
+            continue;
+        }
         group.paused[each->id] = each->started_at;
         if (!has_confirmed(group, *each)) {
             receiving.push_back(each);
@@ -284,12 +295,47 @@
                        [&](const auto& each) { return each != server; });
 }
 
-auto primary_supervisor::receives_for_open_promotion(
-    const supervised_group& group) -> bool
+auto primary_supervisor::receiving_candidate(const supervised_group& group)
+    -> std::optional<target_id>
+{
+    auto candidates = group.open_promotions;
+    candidates.erase(group.primary);
+    if (candidates.size() != 1 || group.paused.contains(*candidates.begin())) {
+        return std::nullopt;
+    }
+    return *candidates.begin();
+}
+
+auto primary_supervisor::resume(time_point now, supervised_group& group,
+                                const server_record& server) -> void
+{
+    last_call_ = last_call_.next();
+    group.resumes[last_call_] = {server.id, server.started_at,
+                                 server_order::resume, now};
+    hooks_.call_server({last_call_, server, server_order::resume, term()});
+}
+
+auto primary_supervisor::resume_candidate(time_point now, const group_id& id,
+                                          supervised_group& group,
+                                          const server_directory& directory)
+    -> void
 {
-    auto others = group.open_promotions;
-    others.erase(group.primary);
-    return others.size() == 1 && !group.paused.contains(*others.begin());
+    const auto is_ordered =
+        group.stage == phase::promoting || group.stage == phase::settling;
+    if (group.synchronous_replicas == 0 || !hooks_.record || !is_ordered ||
+        group.candidate == group.primary ||
+        has_open_promotion(group, group.candidate))
+    {
+        return;
+    }
+    const auto* const known = directory.find(group.candidate);
+    const auto paused = group.paused.find(group.candidate);
+    if (known != nullptr && paused != group.paused.end()) {
+        group.paused.erase(paused);
+        hooks_.log("replica_resumed", id, group.candidate,
+                   "it is to be promoted");
+        resume(now, group, known->record);
+    }
 }
 
 auto primary_supervisor::hold(time_point now, const group_id& id,
@@ -321,7 +367,7 @@
             hooks_.call_server({last_call_, server, what, group.order_term});
         }
     };
-    if (is_ordered || !receives_for_open_promotion(group)) {
+    if (is_ordered || !receiving_candidate(group)) {
         order(primary->record, server_order::step_down);
     }
     for (const auto* const each : others(id, group, directory)) {
@@ -360,11 +406,7 @@
         {
             hooks_.log("replica_resumed", id, server,
                        "no change is under way at " + group.primary.value());
-            last_call_ = last_call_.next();
-            group.resumes[last_call_] = {server, started_at,
-                                         server_order::resume, now};
-            hooks_.call_server(
-                {last_call_, known->record, server_order::resume, term()});
+            resume(now, group, known->record);
         }
     }
     group.paused.clear();
@@ -395,7 +437,7 @@
     const auto& status = found->second.status;
     const auto is_unsafe = group.synchronous_replicas > 0 &&
                            has_open_promotion(group, group.primary) &&
-                           !receives_for_open_promotion(group);
+                           !receiving_candidate(group);
     if (status.role == server_role::replica || is_unsafe) {
         // While an order for another server may be carried out, a replica that
         // starts again would let the primary acknowledge what that one lacks.
--- a/src/transport/configuration_node.cpp
+++ b/src/transport/configuration_node.cpp
@@ -66,7 +66,7 @@
                   ? std::optional(allowance_ledger(*options_.allowances))
                   : std::nullopt),
       reports_timer_(context),
-      supervisor_(hooks_.supervisor),
+      supervisor_(make_supervisor_hooks()),
       positions_(hooks_.ask_position)
 {
     auto stored = files_.take_stored();
@@ -83,7 +83,7 @@
     consensus.admits_unlisted_members = true;
     consensus.min_voters = voters_needed();
     if (stored.snapshot) {
-        history_.load(stored.snapshot->data);
+        load_history(stored.snapshot->data);
         snapshot_index_ = stored.snapshot->metadata.index;
     }
     member_ = std::make_unique<consensus_member>(
@@ -91,6 +91,37 @@
         std::move(stored), steady_now());
 }
 
+auto configuration_node::implementation::make_supervisor_hooks()
+    -> primary_supervisor_hooks
+{
+    auto hooks = hooks_.supervisor;
+    hooks.record = [this](const group_id& group,
+                          const std::set<target_id>& servers) {
+        const auto record =
+            promotion_record{group, {servers.begin(), servers.end()}};
+        // Without a commit the supervisor asks again.
+        static_cast<void>(member_->propose(
+            steady_now(), configuration_history::encode(record)));
+    };
+    return hooks;
+}
+
+auto configuration_node::implementation::tell_supervisor(
+    const promotion_record& record) -> void
+{
+    supervisor_.on_recorded(record.group,
+                            {record.servers.begin(), record.servers.end()});
+}
+
+auto configuration_node::implementation::load_history(std::string_view bytes)
+    -> void
+{
+    history_.load(bytes);
+    for (const auto& [group, record] : history_.promotions()) {
+        tell_supervisor(record);
+    }
+}
+
 auto configuration_node::implementation::start() -> void
 {
     const auto address = asio::ip::make_address(options_.address);
@@ -275,7 +306,7 @@
                     encode(message));
     }
     if (ready.is_restore) {
-        history_.load(ready.snapshot->data);
+        load_history(ready.snapshot->data);
         applied_ = snapshot_index_ = ready.snapshot->metadata.index;
         succession_.on_applied(steady_now(), ready.snapshot->metadata.elected);
         if (history_.newest().version > 0) {
@@ -354,6 +385,11 @@
         log_in_force("log");
         tell_configuration();
         push_updates();
+    } else if (entry.kind == entry_kind::command) {
+        if (const auto record =
+                configuration_history::decode_promotions(entry.command)) {
+            tell_supervisor(*record);
+        }
     } else if (entry.kind == entry_kind::configuration) {
         log_event("members_changed")
             .field("members", entry.configuration->members.size())
--- a/src/transport/configuration_node_implementation.hpp
+++ b/src/transport/configuration_node_implementation.hpp
@@ -246,6 +246,10 @@
     /// the member may go on.
     auto resume_storage() -> bool;
     auto apply(const log_entry& entry) -> void;
+    [[nodiscard]] auto make_supervisor_hooks() -> primary_supervisor_hooks;
+    /// Tells the supervisor of a record of promotions.
+    auto tell_supervisor(const promotion_record& record) -> void;
+    auto load_history(std::string_view bytes) -> void;
     auto follow_leadership() -> void;
     auto finish_reads(time_point now) -> void;
     /// Acknowledges what the tolerated losses cannot take away any more.
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -41,6 +41,15 @@
     hooks.promote = [this](const group_id&, const target_id& candidate) {
         on_promote(candidate);
     };
+    hooks.record = [this](const group_id&, const std::set<target_id>& named) {
+        if (are_records_lost) {
+            return;
+        }
+        later(one_way, [this, named] {
+            recorded_ = named;
+            supervisor_->on_recorded(group_id("g"), recorded_);
+        });
+    };
     hooks.log = [this](std::string_view event, const group_id&,
                        const target_id& id, const std::string& reason) {
         note(std::string(event) + ' ' + id.value() + ": " + reason);
@@ -53,6 +62,7 @@
     ++leader_;
     supervisor_ = make_supervisor();
     supervisor_->supervise(group_id("g"), synchronous_replicas_);
+    supervisor_->on_recorded(group_id("g"), recorded_);
     supervisor_->start_leading(now_);
 }
 
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -96,6 +96,8 @@
     std::vector<duration> late_promotions;
     /// The next call to promote gets no reply and is never carried out.
     bool is_promotion_lost = false;
+    /// What the leader records is not committed.
+    bool are_records_lost = false;
     /// An injected fault: servers confirm orders to pause and go on receiving.
     bool is_pause_ignored = false;
 
@@ -141,6 +143,8 @@
     std::multimap<time_point, std::function<void()>> actions_;
     server_directory directory_;
     std::unique_ptr<primary_supervisor> supervisor_;
+    /// Replicated: servers that orders may make primary.
+    std::set<target_id> recorded_;
     /// Raised with each leader; replies to an earlier one are dropped.
     std::uint64_t leader_ = 0;
     std::uint64_t last_token_ = 0;
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -688,6 +688,21 @@
     CHECK(group.longest_gap < seconds(6));
 }
 
+// A later leader did not know of an order that could still be carried out.
+TEST_CASE("promotion: no order is given before it is recorded")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.are_records_lost = true;
+    group.crash(group.servers[0], seconds(20));
+    group.run(seconds(3));
+    CHECK(group.orders_to_promote == 0);
+    group.are_records_lost = false;
+    group.run(seconds(3));
+    CHECK(group.promoted == std::vector<std::string>{"c"});
+    CHECK(group.is_accepting());
+}
+
 // An order to resume without an answer was carried out during the next change.
 TEST_CASE("promotion: a late order to resume lifts no pause that matters")
 {
