coordination: a primary that leads is confirmed, not replaced

Cause: the wait for a record left the confirmation's mark cleared, so that the next look took it for a planned change; the hold did not ask for whom the order was. Change: the mark stays until the decision, the hold concerns orders for another server only, and a record that does not come ends the attempt after 3 s. Measured: "a primary that leads is confirmed, not replaced" stepped it down before, not now.

--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -34,6 +34,8 @@
 constexpr auto settling_timeout = milliseconds(2500);
 /// Pause before a record that was not committed is asked for again.
 constexpr auto record_interval = milliseconds(500);
+/// Time from the beginning of a phase until its order is recorded.
+constexpr auto record_timeout = std::chrono::seconds(3);
 /// A new control leader first collects announcements for this long.
 constexpr auto listening_time = milliseconds(1500);
 /// A group in which no server claims to be primary gets one after this long.
@@ -604,6 +606,10 @@
                                  const target_id& candidate) -> void
 {
     if (!is_recorded(now, id, group, candidate)) {
+        if (now - group.since > record_timeout) {
+            postpone(now, id, group, candidate,
+                     "the order could not be recorded", milliseconds(200));
+        }
         return;
     }
     group.stage = phase::promoting;
--- a/src/coordination/primary_supervisor_orders.cpp
+++ b/src/coordination/primary_supervisor_orders.cpp
@@ -343,9 +343,10 @@
                               const server_directory& directory) -> void
 {
     const auto is_ordered =
-        group.stage == phase::promoting || group.stage == phase::settling;
-    const auto may_change = has_open_promotion(group, group.primary) ||
-                            (is_ordered && group.candidate != group.primary);
+        (group.stage == phase::promoting || group.stage == phase::settling) &&
+        group.candidate != group.primary;
+    const auto may_change =
+        is_ordered || has_open_promotion(group, group.primary);
     if (group.synchronous_replicas == 0 || !may_change) {
         group.stepped_down.reset();
         return;
@@ -419,7 +420,6 @@
                                          const server_directory& directory)
     -> void
 {
-    group.is_confirming = false;
     const auto found = group.statuses.find(group.primary);
     if (found == group.statuses.end()) {
         const auto is_blocked =
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -703,6 +703,22 @@
     CHECK(group.is_accepting());
 }
 
+// A primary that led stepped down: the record of the order that was to confirm
+// it was not there yet.
+TEST_CASE("promotion: a primary that leads is confirmed, not replaced")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.is_writing = false;
+    group.run(milliseconds(200));
+    group.servers[1].paused_by = 2;
+    group.run(seconds(4));
+    CHECK(group.servers[1].paused_by == 0);
+    CHECK(group.orders_to_promote == 1);
+    CHECK(group.promoted.empty());
+    CHECK(group.step_downs == 0);
+}
+
 // An order to resume without an answer was carried out during the next change.
 TEST_CASE("promotion: a late order to resume lifts no pause that matters")
 {
