--- a/tests/transport/configuration_node_test.cpp
+++ b/tests/transport/configuration_node_test.cpp
@@ -46,14 +46,8 @@
 {
     auto group = loopback_group();
     group.removal_timeout = std::chrono::milliseconds(1500);
-    auto members = std::vector<configuration_node*>();
-    for (const auto& address : founders) {
-        members.push_back(&group.start(address, founders, true));
-    }
-    auto& joined = group.start("127.0.0.4", founders, false);
-    REQUIRE(
-        group.run_until([&] { return loopback_group::voters(joined) == 4; }));
-    group.end(joined);
+    const auto members = start_four(group);
+    group.end(*members.back());
     REQUIRE(group.run_until(
         [&] { return loopback_group::voters(*members.front()) == 3; }));
     auto& returned = group.start("127.0.0.4", founders, false);
@@ -68,20 +62,16 @@
           "group needs its vote")
 {
     auto group = loopback_group();
-    auto members = std::vector<configuration_node*>();
-    for (const auto& address : founders) {
-        members.push_back(&group.start(address, founders, true));
-    }
-    auto& joined = group.start("127.0.0.4", founders, false);
-    REQUIRE(
-        group.run_until([&] { return loopback_group::voters(joined) == 4; }));
-    members.back()->leave();
-    CHECK(group.run_until([&] { return !members.back()->is_leaving(); }));
-    members.back()->stop();
-    CHECK(group.run_until([&] { return loopback_group::voters(joined) == 3; }));
-    joined.leave();
-    CHECK(group.run_until([&] { return !joined.is_leaving(); }));
-    CHECK(loopback_group::voters(joined) == 3);
+    const auto members = start_four(group);
+    auto& leaving = *members.at(2);
+    leaving.leave();
+    CHECK(group.run_until([&] { return !leaving.is_leaving(); }));
+    leaving.stop();
+    auto& needed = *members.back();
+    CHECK(group.run_until([&] { return loopback_group::voters(needed) == 3; }));
+    needed.leave();
+    CHECK(group.run_until([&] { return !needed.is_leaving(); }));
+    CHECK(loopback_group::voters(needed) == 3);
 }
 
 TEST_CASE("configuration node: a configuration reaches a proxy, is read back "
--- a/tests/transport/loopback_group.hpp
+++ b/tests/transport/loopback_group.hpp
@@ -159,6 +159,20 @@
 inline const auto founders =
     std::vector<std::string>{"127.0.0.1", "127.0.0.2", "127.0.0.3"};
 
+/// Starts the founders and 127.0.0.4, and waits until all four have votes.
+inline auto start_four(loopback_group& group)
+    -> std::vector<configuration_node*>
+{
+    auto members = std::vector<configuration_node*>();
+    for (const auto& address : founders) {
+        members.push_back(&group.start(address, founders, true));
+    }
+    members.push_back(&group.start("127.0.0.4", founders, false));
+    REQUIRE(group.run_until(
+        [&] { return loopback_group::voters(*members.back()) == 4; }));
+    return members;
+}
+
 } // namespace rhubarbrun::test
 
 #endif
