coordination: records of an earlier leader count whenever they are applied

Cause: a new leader took the records of promotions that it had applied when it was elected; one that was committed and not applied yet was missed. After an accepted call the record was shortened later than the next order could rely on it. Change: a record that this leader did not ask for counts as open orders; an order after an accepted call waits for a record of its own.

--- a/include/rhubarbrun/coordination/primary_supervisor.hpp
+++ b/include/rhubarbrun/coordination/primary_supervisor.hpp
@@ -247,6 +247,8 @@
         std::set<target_id> open_promotions;
         /// When a record was asked for last.
         std::optional<time_point> record_asked_at;
+        /// Records of this leader; any other is of an earlier one.
+        std::set<std::set<target_id>> own_records;
         /// Whether the survey is to confirm the present primary by an order.
         bool is_confirming = false;
         /// Whether the present primary was confirmed since the last order for
@@ -305,6 +307,8 @@
     [[nodiscard]] auto is_recorded(time_point now, const group_id& id,
                                    supervised_group& group,
                                    const target_id& candidate) -> bool;
+    auto record(const group_id& id, supervised_group& group,
+                const std::set<target_id>& servers) -> void;
     /// Lets the server of the only open order receive, so that its log holds
     /// what the former primary may still acknowledge.
     auto resume_candidate(time_point now, const group_id& id,
--- a/src/coordination/primary_supervisor.cpp
+++ b/src/coordination/primary_supervisor.cpp
@@ -58,6 +58,7 @@
         group.is_confirmed = false;
         group.next_patrol = now;
         group.record_asked_at.reset();
+        group.own_records.clear();
         if (group.synchronous_replicas > 0) {
             const auto& recorded = recorded_[id];
             group.open_promotions.insert(recorded.begin(), recorded.end());
@@ -590,14 +591,30 @@
     if (!group.record_asked_at ||
         now - *group.record_asked_at > record_interval) {
         group.record_asked_at = now;
-        hooks_.record(id, servers);
+        record(id, group, servers);
     }
     return false;
 }
 
+auto primary_supervisor::record(const group_id& id, supervised_group& group,
+                                const std::set<target_id>& servers) -> void
+{
+    group.own_records.insert(servers);
+    hooks_.record(id, servers);
+}
+
 auto primary_supervisor::on_recorded(const group_id& group,
                                      std::set<target_id> servers) -> void
 {
+    const auto found = groups_.find(group);
+    if (is_leading_ && found != groups_.end()) {
+        // It was not applied yet when this leader was elected.
+        auto& known = found->second;
+        if (known.synchronous_replicas > 0 &&
+            !known.own_records.contains(servers)) {
+            known.open_promotions.insert(servers.begin(), servers.end());
+        }
+    }
     recorded_[group] = std::move(servers);
 }
 
@@ -633,10 +650,12 @@
     if (outcome == promotion_outcome::accepted) {
         // Orders before this one are refused from now on.
         known.open_promotions.clear();
-        const auto& recorded = recorded_[group];
+        auto& recorded = recorded_[group];
         if (hooks_.record && !recorded.empty() &&
             recorded != std::set{known.candidate}) {
-            hooks_.record(group, {known.candidate});
+            // The next order waits for a record of its own.
+            recorded = {known.candidate};
+            record(group, known, recorded);
         }
         for (const auto& [server, open] : known.open_resumes) {
             forget_pauses(known, server);
--- a/tests/coordination/promotion_harness.cpp
+++ b/tests/coordination/promotion_harness.cpp
@@ -45,10 +45,7 @@
         if (are_records_lost) {
             return;
         }
-        later(one_way, [this, named] {
-            recorded_ = named;
-            supervisor_->on_recorded(group_id("g"), recorded_);
-        });
+        later(one_way, [this, named] { apply_record(named); });
     };
     hooks.log = [this](std::string_view event, const group_id&,
                        const target_id& id, const std::string& reason) {
@@ -66,6 +63,12 @@
     supervisor_->start_leading(now_);
 }
 
+auto promotion_harness::apply_record(std::set<target_id> named) -> void
+{
+    recorded_ = std::move(named);
+    supervisor_->on_recorded(group_id("g"), recorded_);
+}
+
 auto promotion_harness::note(const std::string& event) -> void
 {
     events.push_back(std::to_string(to_milliseconds(now_.time_since_epoch())) +
--- a/tests/coordination/promotion_harness.hpp
+++ b/tests/coordination/promotion_harness.hpp
@@ -70,6 +70,8 @@
     duration succession_time = std::chrono::seconds(1);
     /// Another member of control leads, which knows nothing of earlier orders.
     auto change_leader() -> void;
+    /// A record of servers that orders may make primary is committed.
+    auto apply_record(std::set<target_id> named) -> void;
 
     [[nodiscard]] auto primary() -> server*;
     /// The server whose log replicas receive: the primary, or the last one if
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -703,6 +703,21 @@
     CHECK(group.is_accepting());
 }
 
+// A leader gave orders on the records that it had applied when it was elected.
+TEST_CASE("promotion: a record that is applied late counts as an open order")
+{
+    auto group = promotion_harness();
+    group.run(seconds(3));
+    group.change_leader();
+    group.run(milliseconds(200));
+    group.apply_record({target_id("b")});
+    group.run(seconds(4));
+    // An order for the primary made that for the other server void.
+    CHECK(group.orders_to_promote > 0);
+    CHECK(group.lost == 0);
+    CHECK(group.is_accepting());
+}
+
 // A primary that led stepped down: the record of the order that was to confirm
 // it was not there yet.
 TEST_CASE("promotion: a primary that leads is confirmed, not replaced")
