coordination: members that others report are named so

Cause: the name of a field was none of the field's terms. Change: a rename. Measured: the tests of the membership build and pass as before.

--- a/include/rhubarbrun/coordination/member_contacts.hpp
+++ b/include/rhubarbrun/coordination/member_contacts.hpp
@@ -14,8 +14,8 @@
     std::vector<std::string> seeds;
     /// Members by the own log, which may be old.
     std::vector<std::string> members;
-    /// Members as other control processes told them lately.
-    std::vector<std::string> told_members;
+    /// Members as other control processes reported them.
+    std::vector<std::string> reported_members;
     /// Whether a leader has been heard within the election timeout.
     bool is_served = false;
 };
--- a/src/coordination/member_contacts.cpp
+++ b/src/coordination/member_contacts.cpp
@@ -7,12 +7,12 @@
 
 auto choose_contacts(const contact_sources& sources) -> contact_choice
 {
-    const auto& [own, seeds, members, told_members, is_served] = sources;
+    const auto& [own, seeds, members, reported_members, is_served] = sources;
     auto choice = contact_choice{};
     choice.wanted.insert(seeds.begin(), seeds.end());
     choice.wanted.insert(members.begin(), members.end());
     if (!is_served) {
-        choice.wanted.insert(told_members.begin(), told_members.end());
+        choice.wanted.insert(reported_members.begin(), reported_members.end());
     }
     choice.wanted.erase(own);
     const auto is_member =
--- a/src/transport/configuration_node_views.cpp
+++ b/src/transport/configuration_node_views.cpp
@@ -80,9 +80,9 @@
                                    {},
                                    member_->hears_leader(steady_now())};
     for (const auto& [name, told] : census_) {
-        sources.told_members.insert(sources.told_members.end(),
-                                    told.first.members.begin(),
-                                    told.first.members.end());
+        sources.reported_members.insert(sources.reported_members.end(),
+                                        told.first.members.begin(),
+                                        told.first.members.end());
     }
     auto [wanted, dialed] = choose_contacts(sources);
     std::erase_if(wanted, [](const auto& name) { return !is_address(name); });
--- a/tests/coordination/machine_group.cpp
+++ b/tests/coordination/machine_group.cpp
@@ -223,8 +223,8 @@
     sources.is_served = (!settings_.dials_without_leader && is_member) ||
                         each.member->hears_leader(now_);
     for (const auto& [teller, told] : each.told) {
-        sources.told_members.insert(sources.told_members.end(), told.begin(),
-                                    told.end());
+        sources.reported_members.insert(sources.reported_members.end(),
+                                        told.begin(), told.end());
     }
     const auto choice = choose_contacts(sources);
     std::erase_if(each.dialed, [&](const auto& other) {
