--- a/review/stand_ins_3/deployment.hpp
+++ b/review/stand_ins_3/deployment.hpp
@@ -47,7 +47,8 @@
         char* environment[] = {variable.data(), nullptr};
         id_ = fork();
         if (id_ == 0) {
-            // It ends with the case, however that ends.
+            // It ends with the case, however that ends; the thread that starts
+            // it has to live as long.
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const auto input = open("/dev/null", O_RDONLY);
             const auto output =
