review: a ping that names no server gives a stranger the primary's work

Case 11, a script: one ping lacks `version` and gives `coldLeftMs` as a text; it names a server of another installation as primary. All requests of the primary route go to that server from then on.

--- a/review/stand_ins_3/deployment.hpp
+++ b/review/stand_ins_3/deployment.hpp
@@ -123,8 +123,8 @@
                 addresses.push_back(
                     {prefix_ + std::to_string(host++), server_port});
             }
-            services_.push_back(
-                std::make_unique<service>(record_, name, addresses));
+            services_.push_back(std::make_unique<service>(
+                record_, name, std::string("i-") + name, addresses));
         }
         db = services_.front().get();
     }
@@ -170,6 +170,11 @@
     {
         return {at.address(), front_port};
     }
+    /// An address that belongs to no server of the deployment.
+    [[nodiscard]] auto strange_address() const -> endpoint
+    {
+        return {prefix_ + "200", server_port};
+    }
     static auto readiness(const node& at) -> endpoint
     {
         return {at.address(), readiness_port};
--- a/review/stand_ins_3/servers.hpp
+++ b/review/stand_ins_3/servers.hpp
@@ -46,14 +46,15 @@
     using fate_function = std::function<answer_fate(
         std::size_t server, const std::string& id, const std::string& word)>;
 
-    service(record_file& record, std::string name,
-            std::vector<endpoint> addresses)
+    /// The ids of the servers begin with `prefix`.
+    service(record_file& record, std::string name, const std::string& prefix,
+            const std::vector<endpoint>& addresses)
         : record_(record), name_(std::move(name))
     {
-        for (auto& at : addresses) {
+        for (const auto& at : addresses) {
             auto added = std::make_unique<server>();
             added->at = at;
-            added->id = "i-" + name_ + std::to_string(servers_.size() + 1);
+            added->id = prefix + std::to_string(servers_.size() + 1);
             servers_.push_back(std::move(added));
         }
     }
