review: case 15 records the memory of served rounds only

Right after a restart the figure could be that of the stand-in itself, before the program was loaded into the new process.

--- a/review/stand_ins_3/new_shapes.cpp
+++ b/review/stand_ins_3/new_shapes.cpp
@@ -66,7 +66,9 @@
             prepared.outcome == "COMPLETE" && ran.outcome == "COMPLETE";
         count.served += is_served ? 1 : 0;
         const auto memory = memory_of(at.id());
-        count.most = std::max(count.most, memory);
+        if (is_served) {
+            count.most = std::max(count.most, memory);
+        }
         if (round % 50 == 0 || memory > limit) {
             record.add(at.name() + " round " + std::to_string(round) +
                        " served " + std::to_string(count.served) +
