--- a/review/stand_ins_3/sent_ahead.cpp
+++ b/review/stand_ins_3/sent_ahead.cpp
@@ -12,7 +12,7 @@
 constexpr auto proxies = std::size_t{4};
 /// Stops of each proxy, one after the other.
 constexpr auto rounds = 4;
-/// Between the first stops of two proxies.
+/// Between the stops of two proxies.
 constexpr auto roll_gap = std::chrono::seconds(2);
 /// Nothing happens for longer than `stableWindowMs` before the first SIGTERM.
 constexpr auto quiet_time = std::chrono::seconds(6);
@@ -21,10 +21,11 @@
 constexpr auto restart_delay = milliseconds(100);
 /// Statements of a transaction, at most 12.
 constexpr auto writes = 10;
-/// Between two messages that are sent ahead.
-constexpr auto message_gap = milliseconds(1);
+/// After the start of the transaction, doubled after each other write: the
+/// first configuration comes some milliseconds after the start, or much later.
+constexpr auto first_gap = milliseconds(1);
 /// Between two attempts to connect.
-constexpr auto connect_gap = std::chrono::microseconds(500);
+constexpr auto connect_gap = std::chrono::microseconds(200);
 
 auto stop_and_start(record_file& record, deployment& all, node& at) -> bool
 {
@@ -63,19 +64,21 @@
         }
         std::this_thread::sleep_for(connect_gap);
     }
-    auto messages = std::vector<std::string>{"STARTUP orders u1"};
-    messages.push_back("QUERY " + id_of(round, 0) + " BEGIN");
+    const auto send = [&](const std::string& message) {
+        record.add("consumer sent " + message);
+        link.send(message + "\r\n");
+    };
+    record.add("consumer sent STARTUP orders u1");
+    link.send("STARTUP orders u1\r\n");
+    send("QUERY " + id_of(round, 0) + " BEGIN");
+    auto gap = first_gap;
     for (auto number = 1; number <= writes; ++number) {
-        messages.push_back("QUERY " + id_of(round, number) + " WRITE " +
-                           std::to_string(number) + " salt" +
-                           std::to_string(round));
-    }
-    messages.push_back("QUERY " + id_of(round, writes + 1) + " COMMIT");
-    for (const auto& each : messages) {
-        record.add("consumer sent " + each);
-        link.send(each + "\r\n");
-        std::this_thread::sleep_for(message_gap);
+        std::this_thread::sleep_for(gap);
+        send("QUERY " + id_of(round, number) + " WRITE " +
+             std::to_string(number) + " salt" + std::to_string(round));
+        gap *= number % 2 == 0 ? 2 : 1;
     }
+    send("QUERY " + id_of(round, writes + 1) + " COMMIT");
     // The answers, until none comes for longer than the route's timeout.
     while (const auto line = link.line(milliseconds(1500))) {
         record.add("consumer got " + *line);
@@ -129,10 +132,14 @@
     auto transactions = std::atomic<int>(0);
     auto outside = std::atomic<int>(0);
     auto torn = std::atomic<int>(0);
+    const auto first_stop = clock::now();
     const auto roll = [&](std::size_t index) {
         auto& proxy = all.proxy(index);
-        std::this_thread::sleep_for(static_cast<int>(index) * roll_gap);
         for (auto round = 1; round <= rounds; ++round) {
+            const auto stops_before =
+                static_cast<std::size_t>(round - 1) * proxies + index;
+            std::this_thread::sleep_until(
+                first_stop + static_cast<int>(stops_before) * roll_gap);
             if (is_troubled && !stop_and_start(record, all, proxy)) {
                 return;
             }
