--- a/review/stand_ins_3/deployment.hpp
+++ b/review/stand_ins_3/deployment.hpp
@@ -94,12 +94,59 @@
     int end_ = 0;
 };
 
+/// Ports that are the same on all machines.
+struct port_numbers
+{
+    std::uint16_t control = 0;
+    std::uint16_t front = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t server = 0;
+    std::uint16_t cloud = 0;
+    /// The first of sixteen.
+    std::uint16_t inner = 0;
+};
+
+/// Ports that are free at every address, below those that the kernel gives out.
+inline auto find_free_ports() -> port_numbers
+{
+    constexpr auto first = 12'000;
+    constexpr auto last = 30'000;
+    constexpr auto inner_count = 16;
+    auto next = first + static_cast<int>(getpid()) * 37 % (last - first);
+    const auto is_free = [](int port) {
+        const auto descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        auto where = to_sockaddr({"0.0.0.0", static_cast<std::uint16_t>(port)});
+        const auto result =
+            bind(descriptor, reinterpret_cast<const sockaddr*>(&where),
+                 sizeof where);
+        close(descriptor);
+        return result == 0;
+    };
+    const auto take = [&](int count) {
+        for (auto found = 0; found < count;) {
+            next = next < last ? next + 1 : first;
+            found = is_free(next) ? found + 1 : 0;
+        }
+        return static_cast<std::uint16_t>(next - count + 1);
+    };
+    auto ports = port_numbers{};
+    for (auto* const each : {&ports.control, &ports.front, &ports.readiness,
+                             &ports.server, &ports.cloud})
+    {
+        *each = take(1);
+    }
+    ports.inner = take(inner_count);
+    return ports;
+}
+
 class deployment
 {
 public:
     deployment(record_file& record, std::filesystem::path directory,
                std::size_t controls, std::size_t proxies, std::size_t servers)
-        : record_(record), directory_(std::move(directory))
+        : record_(record),
+          directory_(std::move(directory)),
+          ports_(find_free_ports())
     {
         std::filesystem::create_directories(directory_);
         // Addresses of its own for each run, so that ports are free on them.
@@ -121,7 +168,7 @@
             auto addresses = std::vector<endpoint>();
             for (auto index = std::size_t{0}; index < servers; ++index) {
                 addresses.push_back(
-                    {prefix_ + std::to_string(host++), server_port});
+                    {prefix_ + std::to_string(host++), ports_.server});
             }
             services_.push_back(std::make_unique<service>(
                 record_, name, std::string("i-") + name, addresses));
@@ -148,7 +195,7 @@
         auto result = std::vector<endpoint>();
         for (const auto& each : nodes_) {
             if (each->is_control()) {
-                result.push_back({each->address(), control_port});
+                result.push_back({each->address(), ports_.control});
             }
         }
         return result;
@@ -166,18 +213,18 @@
     {
         return *nodes_.at(index);
     }
-    static auto front(const node& at) -> endpoint
+    [[nodiscard]] auto front(const node& at) const -> endpoint
     {
-        return {at.address(), front_port};
+        return {at.address(), ports_.front};
     }
     /// An address that belongs to no server of the deployment.
     [[nodiscard]] auto strange_address() const -> endpoint
     {
-        return {prefix_ + "200", server_port};
+        return {prefix_ + "200", ports_.server};
     }
-    static auto readiness(const node& at) -> endpoint
+    [[nodiscard]] auto readiness(const node& at) const -> endpoint
     {
-        return {at.address(), readiness_port};
+        return {at.address(), ports_.readiness};
     }
 
     auto start_all() -> void
@@ -229,7 +276,8 @@
     }
 
     /// Waits until the proxy counts as ready.
-    static auto wait_ready(const node& at, milliseconds patience) -> bool
+    [[nodiscard]] auto wait_ready(const node& at, milliseconds patience) const
+        -> bool
     {
         const auto until = clock::now() + patience;
         while (clock::now() < until) {
@@ -241,13 +289,6 @@
         return false;
     }
 
-    static constexpr auto control_port = std::uint16_t{8782};
-    static constexpr auto front_port = std::uint16_t{8784};
-    static constexpr auto readiness_port = std::uint16_t{8785};
-    static constexpr auto first_inner_port = 7440;
-    static constexpr auto server_port = std::uint16_t{8080};
-    static constexpr auto cloud_port = std::uint16_t{8783};
-
 private:
     auto write_settings(const node& at, bool is_first) const -> void
     {
@@ -263,8 +304,8 @@
              << "\"\nserves = [\""
              << (at.is_control() ? "control_plane" : "edge") << "\"]\nip = \""
              << at.address() << "\"\nzone = \"almaty-a\"\nregion = \"almaty\"\n"
-             << "internalPorts = [" << first_inner_port << ','
-             << first_inner_port + 15 << "]\nseeds = [";
+             << "internalPorts = [" << ports_.inner << ',' << ports_.inner + 15
+             << "]\nseeds = [";
         auto count = 0;
         for (const auto& each : controls()) {
             file << (count > 0 ? "," : "") << '"' << each.text() << '"';
@@ -285,10 +326,10 @@
         }
         file << "[zones]\nalmaty-a = \"almaty\"\n[listen]\n";
         if (at.is_control()) {
-            file << "control = " << listen(control_port) << '\n';
+            file << "control = " << listen(ports_.control) << '\n';
         } else {
-            file << "front = " << listen(front_port)
-                 << "\nreadiness = " << listen(readiness_port) << '\n';
+            file << "front = " << listen(ports_.front)
+                 << "\nreadiness = " << listen(ports_.readiness) << '\n';
         }
         file << "[limits]\ncpuShare = 1.0\ncpuCores = 1\nmemoryMb = "
              << (at.is_control() ? 256U : edge_memory_mb)
@@ -302,7 +343,7 @@
              << "applyDeadlineMs = 4000\nrollbackSlackMs = 250\n"
              << "maxSkewMs = 15000\nrecoveryS = 12\nfencing = true\n"
              << "thawSlackMs = 300\n[cloud]\naddress = \"" << prefix_
-             << "9:" << cloud_port
+             << "9:" << ports_.cloud
              << "\"\nratePerS = 50.0\nduties = [\"failover\"]\n"
              << "dutyPerS = 50.0\n";
         file.close();
@@ -356,6 +397,7 @@
 
     record_file& record_;
     std::filesystem::path directory_;
+    const port_numbers ports_;
     std::string prefix_;
     std::vector<std::unique_ptr<service>> services_;
     std::vector<std::unique_ptr<node>> nodes_;
--- a/review/stand_ins_3/grey_set.cpp
+++ b/review/stand_ins_3/grey_set.cpp
@@ -39,8 +39,7 @@
              clock::time_point until, tally& count) -> void
 {
     auto self = consumer(record, "u" + std::to_string(number));
-    const auto at =
-        deployment::front(all.proxy(static_cast<std::size_t>(number % 2)));
+    const auto at = all.front(all.proxy(static_cast<std::size_t>(number % 2)));
     for (auto request = 0; clock::now() < until; ++request) {
         char id[32];
         std::snprintf(id, sizeof id, "%08x%08x", number, request);
@@ -114,8 +113,8 @@
     };
     all.start_all();
     if (!all.configure(desired_state(7), std::chrono::seconds(20)) ||
-        !deployment::wait_ready(all.proxy(0), std::chrono::seconds(20)) ||
-        !deployment::wait_ready(all.proxy(1), std::chrono::seconds(20)))
+        !all.wait_ready(all.proxy(0), std::chrono::seconds(20)) ||
+        !all.wait_ready(all.proxy(1), std::chrono::seconds(20)))
     {
         record.add("the deployment does not start");
         return 2;
--- a/review/stand_ins_3/lost_answer.cpp
+++ b/review/stand_ins_3/lost_answer.cpp
@@ -27,8 +27,7 @@
              clock::time_point until, tally& count) -> void
 {
     auto self = consumer(record, "u" + std::to_string(number));
-    const auto at =
-        deployment::front(all.proxy(static_cast<std::size_t>(number % 2)));
+    const auto at = all.front(all.proxy(static_cast<std::size_t>(number % 2)));
     for (auto request = 0; clock::now() < until; ++request) {
         if (!self.is_open() && !self.start(at, "orders")) {
             std::this_thread::sleep_for(milliseconds(200));
@@ -98,8 +97,8 @@
     };
     all.start_all();
     if (!all.configure(desired_state(7), std::chrono::seconds(20)) ||
-        !deployment::wait_ready(all.proxy(0), std::chrono::seconds(20)) ||
-        !deployment::wait_ready(all.proxy(1), std::chrono::seconds(20)))
+        !all.wait_ready(all.proxy(0), std::chrono::seconds(20)) ||
+        !all.wait_ready(all.proxy(1), std::chrono::seconds(20)))
     {
         record.add("the deployment does not start");
         return 2;
--- a/review/stand_ins_3/new_shapes.cpp
+++ b/review/stand_ins_3/new_shapes.cpp
@@ -52,7 +52,7 @@
     const auto patience = std::chrono::seconds(5);
     for (auto round = 0; clock::now() < until && count.ends < most_ends;
          ++round) {
-        if (!self.is_open() && !self.start(deployment::front(at), "stock")) {
+        if (!self.is_open() && !self.start(all.front(at), "stock")) {
             std::this_thread::sleep_for(milliseconds(100));
             continue;
         }
@@ -106,7 +106,7 @@
         all.configure(desired_state(7), std::chrono::seconds(20));
     for (auto index = std::size_t{0}; index < proxies; ++index) {
         if (!is_configured ||
-            !deployment::wait_ready(all.proxy(index), std::chrono::seconds(20)))
+            !all.wait_ready(all.proxy(index), std::chrono::seconds(20)))
         {
             record.add("the deployment does not start");
             return 2;
--- a/review/stand_ins_3/sent_ahead.cpp
+++ b/review/stand_ins_3/sent_ahead.cpp
@@ -54,11 +54,12 @@
 
 /// Sends one transaction ahead to a proxy that may just be starting. Returns
 /// whether the proxy accepted the connection.
-auto send_transaction(record_file& record, node& at, int round) -> bool
+auto send_transaction(record_file& record, deployment& all, node& at, int round)
+    -> bool
 {
     auto link = connection();
     const auto until = clock::now() + grace;
-    while (!(link = connection::open(deployment::front(at))).is_open()) {
+    while (!(link = connection::open(all.front(at))).is_open()) {
         if (clock::now() > until) {
             return false;
         }
@@ -121,7 +122,7 @@
         all.configure(desired_state(7), std::chrono::seconds(20));
     for (auto index = std::size_t{0}; index < proxies; ++index) {
         if (!is_configured ||
-            !deployment::wait_ready(all.proxy(index), std::chrono::seconds(20)))
+            !all.wait_ready(all.proxy(index), std::chrono::seconds(20)))
         {
             record.add("the deployment does not start");
             return 2;
@@ -144,7 +145,7 @@
                 return;
             }
             const auto number = static_cast<int>(index) * 100 + round;
-            if (!send_transaction(record, proxy, number)) {
+            if (!send_transaction(record, all, proxy, number)) {
                 continue;
             }
             ++transactions;
