coordination, platform: an answer must show what its statement leads to

Cause: the end of the transaction that guards such a read is sent together with it, and answers, which carry no id, were attributed by their order alone. The answer to ROLLBACK was passed on as the one to the read. Three hypotheses fit the report: (a) that shift by one; (b) the parser joins what is left of an answer that is cut off with the next one; (c) a late answer of an earlier statement. (c) is excluded by the record of the case: each false success had no row and the proof `-`, which only an answer to a statement of the proxy has. (a) is shown by a test of the relay with whole answers only; (b) is a second way to the same result, shown by a test of the parser that cuts an answer at each byte. The same shift gave the control member the end of a replica's log as that of the primary: its question is BEGIN and ROLLBACK in one piece, and a lost refusal of BEGIN left the success of ROLLBACK.

Change: `session_relay::fits` states what an answer must show: a statement's success a proof and the state that it leads to (in the transaction, or idle after a commit and outside of one), a begin that a transaction is open, an end that none is. A connection with any other answer, an answer that nobody asked for, or an end that fails is closed and serves nobody again; its read is repeated elsewhere, a write stays in doubt, an open transaction is aborted. The position inquiry takes a position only from an open transaction. ROLLBACK still goes with the read: it harms nothing if the read fails, its answer shows another state, and it tells at once that the read's answer is lost. A server whose answer is refused counts as alive.

--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -157,6 +157,9 @@
     /// Values and prepared statements refused because the session's limit was
     /// reached.
     std::uint64_t beyond_state_limit = 0;
+    /// Connections to servers closed because an answer did not fit what was
+    /// asked.
+    std::uint64_t mismatched_answers = 0;
     /// Errors returned to callers, by `relay_error`.
     std::array<std::uint64_t, 16> errors{};
 };
@@ -215,6 +218,9 @@
                            connect_failure reason) -> void;
     auto on_reply(time_point now, connection_id id, relay_reply reply) -> void;
     auto on_connection_lost(time_point now, connection_id id) -> void;
+    /// The server sent something that is no answer. It is alive, but which
+    /// answers it owes on the connection is unknown.
+    auto on_unreadable_reply(time_point now, connection_id id) -> void;
 
     /// Handles a position from control that covers every commit of the group
     /// acknowledged before `asked_at`.
@@ -370,6 +376,8 @@
     {
         expectation_kind kind;
         time_point sent;
+        /// `statement`: its success ends the transaction.
+        bool is_commit = false;
     };
     struct connection
     {
@@ -378,7 +386,6 @@
         std::map<std::string, std::string> values;
         std::set<std::string> prepared;
         transaction_status status = transaction_status::idle;
-        bool is_broken = false;
     };
     /// Waiting requests in the order in which they are served.
     using waiting_key = std::tuple<std::uint32_t, time_point, session_id>;
@@ -507,6 +514,15 @@
     auto on_probe_reply(time_point now, connection_id id,
                         const expectation& asked, const relay_reply& reply)
         -> void;
+    /// Whether the reply can be the one to what was asked. Replies carry no
+    /// id, so that a lost one shifts those that follow.
+    [[nodiscard]] static auto fits(const expectation& asked,
+                                   const connection& target,
+                                   const relay_reply& reply) -> bool;
+    /// Closes a connection whose replies cannot be attributed any more.
+    auto distrust(time_point now, connection_id id) -> void;
+    /// Handles the end of a connection.
+    auto lose(time_point now, connection_id id, bool is_failure) -> void;
     /// Groups statements whose times at a server can be compared.
     [[nodiscard]] static auto timing_kind(const operation& of) -> std::uint8_t;
     auto on_current_reply(time_point now, session& caller, connection_id id,
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -559,7 +559,8 @@
         statement.name = shared_name(prepared.is_read, prepared.shape);
     }
     statement.floor = floor;
-    target.expected.push_back({expectation_kind::statement, now});
+    target.expected.push_back({expectation_kind::statement, now,
+                               statement.step == relay_step::commit});
     out.push_back(std::move(statement));
     if (caller.open) {
         caller.open->has_written |=
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -47,6 +47,13 @@
     }
 }
 
+/// Whether a successful reply carries the proof that its server ran the
+/// statement.
+auto has_proof(const relay_reply& reply) -> bool
+{
+    return !reply.detail.empty() && reply.detail != "-";
+}
+
 auto error_reply(relay_error error, std::string_view text) -> relay_reply
 {
     auto reply = relay_reply{};
@@ -80,19 +87,15 @@
         return;
     }
     auto& target = found->second;
-    if (target.expected.empty()) {
-        target.is_broken = true;
-        recycle_connection(now, id);
+    pool_.on_heard(now, id);
+    if (target.expected.empty() ||
+        !fits(target.expected.front(), target, reply)) {
+        distrust(now, id);
         return;
     }
-    pool_.on_heard(now, id);
     const auto asked = target.expected.front();
     target.expected.pop_front();
     target.status = reply.status;
-    if (asked.kind == expectation_kind::preparation) {
-        target.is_broken |= !reply.is_success();
-        return;
-    }
     if (asked.kind == expectation_kind::probe) {
         on_probe_reply(now, id, asked, reply);
         return;
@@ -112,6 +115,55 @@
     }
 }
 
+auto session_relay::fits(const expectation& asked, const connection& target,
+                         const relay_reply& reply) -> bool
+{
+    if (!reply.is_success()) {
+        // A connection whose transaction cannot be rolled back is closed.
+        return asked.kind != expectation_kind::clean_up;
+    }
+    const auto is_in_transaction =
+        reply.status == transaction_status::in_transaction;
+    const auto is_idle = reply.status == transaction_status::idle;
+    switch (asked.kind) {
+    case expectation_kind::preparation:
+        return reply.rows.empty() && reply.status == target.status;
+    case expectation_kind::primary_check:
+    case expectation_kind::begin:
+    case expectation_kind::probe:
+        return reply.rows.empty() && is_in_transaction;
+    case expectation_kind::statement:
+        return has_proof(reply) &&
+               (asked.is_commit ? is_idle : reply.status == target.status);
+    case expectation_kind::clean_up:
+        return reply.rows.empty() && is_idle;
+    }
+    return false;
+}
+
+auto session_relay::distrust(time_point now, connection_id id) -> void
+{
+    ++counters_.mismatched_answers;
+    const auto& target = connections_.at(id);
+    const auto owner =
+        target.session ? sessions_.find(*target.session) : sessions_.end();
+    if (owner != sessions_.end()) {
+        log(now, "answer_mismatched", owner->second, pool_.server_of(id),
+            relay_error::other);
+    }
+    hooks_.close(id);
+    lose(now, id, false);
+}
+
+auto session_relay::on_unreadable_reply(time_point now, connection_id id)
+    -> void
+{
+    if (connections_.contains(id)) {
+        pool_.on_heard(now, id);
+        distrust(now, id);
+    }
+}
+
 auto session_relay::record_observation(
     time_point now, const group_id& group, time_point asked_at,
     const std::optional<log_position>& position) -> void
@@ -403,28 +455,29 @@
         return;
     }
     const auto group = pool_.group_of(id);
-    if (target.is_broken) {
-        connections_.erase(id);
-        pool_.forget(now, id, false);
-        hooks_.close(id);
-    } else if (target.status != transaction_status::idle) {
+    if (target.status != transaction_status::idle) {
         auto end = relay_statement{};
         end.step = relay_step::rollback;
         target.expected.push_back({expectation_kind::clean_up, now});
         hooks_.send(id, {end});
         return;
-    } else {
-        pool_.release(now, id);
     }
+    pool_.release(now, id);
     serve_waiting(now, group);
 }
 
 auto session_relay::on_connection_lost(time_point now, connection_id id) -> void
 {
     const auto found = connections_.find(id);
-    if (found == connections_.end()) {
-        return;
+    if (found != connections_.end()) {
+        lose(now, id, !found->second.expected.empty());
     }
+}
+
+auto session_relay::lose(time_point now, connection_id id, bool is_failure)
+    -> void
+{
+    const auto found = connections_.find(id);
     const auto session_of = found->second.session;
     const auto group = pool_.group_of(id);
     const auto server = pool_.server_of(id);
@@ -433,7 +486,6 @@
             probes_.erase(group);
         }
     }
-    const auto is_failure = !found->second.expected.empty();
     connections_.erase(found);
     pool_.forget(now, id, is_failure);
     const auto owner =
--- a/tests/coordination/relay_harness.hpp
+++ b/tests/coordination/relay_harness.hpp
@@ -131,6 +131,21 @@
         return first.statement;
     }
 
+    /// Replies to the oldest pending statement with success, in the state of no
+    /// transaction.
+    auto answer_idle(const std::string& proof) -> relay_statement
+    {
+        const auto first = sent.front();
+        sent.pop_front();
+        auto reply = relay_reply{};
+        reply.detail = proof;
+        reply.position = log_position{term(1), log_offset(100)};
+        statuses_[first.connection] = transaction_status::idle;
+        relay.on_reply(now, first.connection, reply);
+        settle();
+        return first.statement;
+    }
+
     /// Replies with success to all pending statements.
     auto answer_all(std::uint64_t position = 100) -> void
     {
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -148,6 +148,82 @@
     CHECK(harness.last_reply(caller).is_success());
 }
 
+// The answer to the end of the transaction that guards a read was taken for the
+// answer to the read, so that callers got a success without proof and rows.
+TEST_CASE("session relay: a read of a primary route whose answer is lost is "
+          "repeated, whatever the next answer says")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::read, "item");
+    CHECK(harness.answer().step == relay_step::begin);
+    const auto lost = harness.sent.front();
+    CHECK(lost.statement.step == relay_step::read);
+    harness.sent.pop_front();
+    REQUIRE(harness.sent.size() == 1);
+    CHECK(harness.answer_idle("-").step == relay_step::rollback);
+    CHECK(harness.replies[caller].empty());
+    REQUIRE(harness.closed_connections.size() == 1);
+    CHECK(harness.closed_connections.front() == lost.connection);
+    CHECK(harness.relay.counters().mismatched_answers == 1);
+    harness.pass(milliseconds(50));
+    harness.answer_all();
+    REQUIRE(harness.replies[caller].size() == 1);
+    CHECK(harness.last_reply(caller).is_success());
+    CHECK(harness.last_reply(caller).detail == "signature");
+}
+
+TEST_CASE("session relay: a success needs a proof and the state that the "
+          "statement leads to")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    SUBCASE("a write without proof stays in doubt")
+    {
+        harness.ask(caller, relay_step::write, "item data");
+        harness.answer_idle("-");
+        CHECK(harness.last_reply(caller).error == relay_error::in_doubt);
+    }
+    SUBCASE("so does a commit")
+    {
+        harness.ask(caller, relay_step::begin);
+        harness.ask(caller, relay_step::write, "item data");
+        harness.answer_all();
+        harness.ask(caller, relay_step::commit);
+        harness.answer_idle("");
+        CHECK(harness.last_reply(caller).error == relay_error::in_doubt);
+    }
+    SUBCASE("a statement whose transaction is not open any more is aborted")
+    {
+        harness.ask(caller, relay_step::begin);
+        harness.ask(caller, relay_step::write, "item data");
+        harness.answer_all();
+        harness.ask(caller, relay_step::write, "item data");
+        harness.answer_idle("signature");
+        CHECK(harness.last_reply(caller).error == relay_error::aborted);
+    }
+    CHECK(harness.closed_connections.size() == 1);
+}
+
+// Such a connection went on serving the transaction that held it.
+TEST_CASE("session relay: an answer that nobody asked for ends the connection "
+          "and its transaction")
+{
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    harness.ask(caller, relay_step::begin);
+    harness.ask(caller, relay_step::write, "item data");
+    const auto connection = harness.sent.front().connection;
+    harness.answer_all();
+    auto unasked = relay_reply{};
+    unasked.detail = "signature";
+    harness.relay.on_reply(harness.now, connection, unasked);
+    CHECK(harness.closed_connections == std::vector<connection_id>{connection});
+    harness.ask(caller, relay_step::commit);
+    CHECK(harness.sent.empty());
+    CHECK(harness.last_reply(caller).error == relay_error::aborted);
+}
+
 TEST_CASE("session relay: a lost connection aborts an open transaction, and "
           "only a sent commit is in doubt")
 {
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -78,6 +78,52 @@
     CHECK(parser.add("READY X -") == reply_parser::result::malformed);
 }
 
+// The end of an answer that was cut off and the beginning of the next one were
+// read as one answer, with the rows of the first and the outcome of the second.
+TEST_CASE("wire codec: an answer that is cut off anywhere and the next one are "
+          "never one answer")
+{
+    const auto first = std::string("DATAROW a\r\nCOMPLETE 7.1f3.c\r\n"
+                                   "READY T 3.1209\r\n");
+    for (const auto* const next :
+         {"COMPLETE -\r\nREADY I 3.1209\r\n",
+          "ERROR FAILED i-1\r\nREADY I 3.1209\r\n",
+          "DATAROW b\r\nCOMPLETE 7.1f4.c\r\nREADY I 3.1209\r\n"})
+    {
+        for (auto cut = std::size_t{0}; cut < first.size(); ++cut) {
+            auto lines = line_splitter();
+            auto parser = reply_parser();
+            lines.append(first.substr(0, cut) + next);
+            auto is_over = false;
+            while (const auto line = is_over ? std::nullopt : lines.next()) {
+                const auto result = parser.add(*line);
+                is_over = result != reply_parser::result::incomplete;
+                if (result != reply_parser::result::complete) {
+                    continue;
+                }
+                // What is left is an answer in the state of the next one.
+                const auto reply = parser.take();
+                INFO(cut);
+                CHECK(reply.status == transaction_status::idle);
+            }
+            CHECK(is_over);
+        }
+    }
+}
+
+TEST_CASE("wire codec: the last message of an answer has a state and a "
+          "position")
+{
+    for (const auto* const line :
+         {"READY", "READY I", "READY I ", "READY I 3", "READY I 3.12x",
+          "READY T 3.12COMPLETE -", "READY I -COMPLETE", "READY X -"})
+    {
+        auto parser = reply_parser();
+        parser.add("COMPLETE -");
+        CHECK(parser.add(line) == reply_parser::result::malformed);
+    }
+}
+
 TEST_CASE("wire codec: lines arrive in any pieces, and an endless one is "
           "refused")
 {
