coordination: a statement is sent once its values are acknowledged

Cause: DISCARD, SET and PREPARE were sent in one piece with the statement that needs them, and noted as done when they were sent. Hypotheses: (a) the statement was under way before the SET was known to fail; (b) the connection was given to another session with a value that the SET had not set; (c) values of a transaction that was rolled back were noted as set.

Change: a value or name counts as set once the server's answer says so, and a statement of a caller is sent after all answers to its preparations. These go together, and with the BEGIN of a transaction or of a guarded read, as none of them harms anybody if another fails; so only a single statement outside a transaction on a connection with other values, or with a new prepared statement, costs a round trip more. A connection that already has what the statement needs goes first. After a failed preparation the statement, of which nothing was sent, goes to another server, a write to the same primary after a pause; the connection is kept and cleared by DISCARD before its next use. Inside a transaction a failed SET aborts it; what was set inside one that does not commit counts as unknown. Preparations (and the BEGIN of a guarded read) that are not answered in half of the statement's time are given up and the statement is sent on another connection; before, it waited for its own time-out.

--- a/include/rhubarbrun/coordination/server_pool.hpp
+++ b/include/rhubarbrun/coordination/server_pool.hpp
@@ -130,6 +130,9 @@
         /// Pacing of servers does not hold the statement back from this time
         /// on; no value if it never does.
         std::optional<time_point> paced_until = {};
+        /// Whether the statement can be sent on the idle connection without a
+        /// round trip that prepares it; empty if it can on every one.
+        std::function<bool(connection_id)> is_prepared = {};
     };
 
     /// Health of one server as seen from this process.
@@ -327,7 +330,12 @@
                                 const connection_request& need) const -> bool;
     auto open(time_point now, server& each, const connection_request& need)
         -> void;
-    /// The idle connection that a statement would use, or the end.
+    /// The idle connection that a statement would use, or the end: the one used
+    /// last, of those that are prepared for it if there are any.
+    [[nodiscard]] auto find_best_idle(const server& each,
+                                      const connection_request& need) const
+        -> std::vector<connection_id>::const_iterator;
+    /// The idle connection that was used last, or the end.
     [[nodiscard]] auto find_idle(const server& each,
                                  const connection_request& need) const
         -> std::vector<connection_id>::const_iterator;
--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -160,6 +160,12 @@
     /// Connections to servers closed because an answer did not fit what was
     /// asked.
     std::uint64_t mismatched_answers = 0;
+    /// Statements for which values or names were sent to a server first.
+    std::uint64_t preparations = 0;
+    /// The same, where a server failed one of these.
+    std::uint64_t failed_preparations = 0;
+    /// The same, where the answers did not come in time.
+    std::uint64_t overdue_preparations = 0;
     /// Errors returned to callers, by `relay_error`.
     std::array<std::uint64_t, 16> errors{};
 };
@@ -167,7 +173,16 @@
 /// Relays the statements of callers' sessions to servers.
 ///
 /// A session's values and prepared statements are kept here and restored on the
-/// connection that runs its next statement. A transaction keeps one connection.
+/// connection that runs its next statement, which is sent once the server has
+/// acknowledged them. A transaction keeps one connection.
+///
+/// Answers carry no id and are attributed by their order, so that each must
+/// show what its statement leads to: a proof, rows, a state. A connection with
+/// an answer that does not fit is closed, because the answers that it owes are
+/// unknown. Only what does no harm if the statement before it fails is sent
+/// before that one is answered: preparations of a connection with a begin, and
+/// the end of the transaction that guards a read.
+///
 /// Reads of routes that do not require the primary go to any server whose log
 /// holds the position that the route and the session require; the position is
 /// sent with the read, and a server that lacks it refuses. A server runs reads
@@ -321,7 +336,10 @@
         std::set<target_id> excluded;
         std::size_t attempts = 0;
         std::optional<connection_id> connection;
+        /// Position that a server needs for a read outside a transaction.
+        std::optional<log_position> floor;
         bool is_read = false;
+        /// Sent itself, not only what prepares a connection for it.
         bool is_sent = false;
         /// A token was taken for it, if it is no part of a transaction.
         bool is_admitted = false;
@@ -363,6 +381,8 @@
     /// What the next reply on a connection belongs to.
     enum class expectation_kind : std::uint8_t
     {
+        /// Gives the connection the values and the prepared statement that its
+        /// session's next statement needs.
         preparation,
         /// Begins a transaction around a read; only a primary accepts it.
         primary_check,
@@ -376,16 +396,30 @@
     {
         expectation_kind kind;
         time_point sent;
-        /// `statement`: its success ends the transaction.
-        bool is_commit = false;
+        /// Step of a `preparation` or a `statement`.
+        relay_step step = relay_step::malformed;
+        /// What a `preparation` sets.
+        std::string name = {};
+        std::string value = {};
     };
     struct connection
     {
         std::optional<session_id> session;
         std::deque<expectation> expected;
+        /// What the server has acknowledged.
         std::map<std::string, std::string> values;
         std::set<std::string> prepared;
         transaction_status status = transaction_status::idle;
+        /// A preparation may have had an effect that is not in `values` and
+        /// `prepared`; only a discard makes the connection usable again.
+        bool is_state_unknown = false;
+        /// Values were set inside the open transaction. A server may or may not
+        /// take them back with it.
+        bool is_changed_in_transaction = false;
+        /// Why a preparation for the waiting statement failed.
+        relay_error preparation_error = relay_error::none;
+        /// When preparations that are not answered are given up.
+        std::optional<time_point> preparation_due;
     };
     /// Waiting requests in the order in which they are served.
     using waiting_key = std::tuple<std::uint32_t, time_point, session_id>;
@@ -499,15 +533,38 @@
     auto send_probe(time_point now, const group_id& group) -> void;
     auto dispatch(time_point now, session& caller, connection_id id,
                   const std::optional<log_position>& floor) -> void;
+    /// Whether the session's statement can be sent on the connection at once.
+    [[nodiscard]] auto is_prepared_for(const session& caller,
+                                       const connection& target) const -> bool;
+    /// Adds what the session's statement needs before it can be sent. These
+    /// statements harm nobody if one of them fails, so that they are sent
+    /// together; nothing of a caller is sent before all are acknowledged.
     auto add_preparation(time_point now, const session& caller,
                          connection& target, std::vector<relay_statement>& out)
         -> void;
-    auto send_current(time_point now, session& caller, connection_id id,
-                      const std::optional<log_position>& floor) -> void;
+    /// Sends preparations, perhaps with a begin, and waits for their answers.
+    auto send_preparation(time_point now, const session& caller,
+                          connection_id id,
+                          const std::vector<relay_statement>& out) -> void;
+    auto end_preparation(connection_id id, connection& target) -> void;
+    /// Sends the session's statement of a transaction that has begun.
+    auto send_in_transaction(time_point now, session& caller) -> void;
+    /// Sends the session's statement on a connection that is prepared for it.
+    auto send_current(time_point now, session& caller, connection_id id)
+        -> void;
     [[nodiscard]] auto waiting_key_of(const session& caller) const
         -> waiting_key;
 
     // session_relay_replies.cpp: answers of servers and failures.
+    auto on_preparation_reply(time_point now, connection_id id,
+                              const expectation& asked,
+                              const relay_reply& reply) -> void;
+    /// Handles a statement that was not sent as a preparation failed.
+    auto on_preparation_failed(time_point now, session& caller,
+                               connection_id id, relay_error error) -> void;
+    /// The session whose statement the connection serves; null if there is
+    /// none.
+    [[nodiscard]] auto served_session(const connection& target) -> session*;
     auto on_primary_check_reply(time_point now, session& caller,
                                 connection_id id, const expectation& asked,
                                 const relay_reply& reply) -> void;
@@ -529,6 +586,10 @@
                           const expectation& asked, relay_reply reply) -> void;
     auto on_autocommit_failure(time_point now, session& caller,
                                connection_id id, relay_reply reply) -> void;
+    /// Lets a statement of an open transaction wait if its server was too full
+    /// for it. Returns false if it cannot be sent again.
+    auto retry_in_transaction(time_point now, session& caller, connection_id id,
+                              relay_error error) -> bool;
     auto on_transaction_reply(time_point now, session& caller, connection_id id,
                               const expectation& asked, relay_reply reply)
         -> void;
@@ -563,6 +624,8 @@
     // session_relay_timers.cpp
     auto tick_sessions(time_point now) -> void;
     auto tick_connections(time_point now) -> void;
+    /// Gives up connections whose preparations are not answered in time.
+    auto tick_preparations(time_point now) -> void;
     auto tick_drain(time_point now) -> void;
     /// Answers the statement that a session still has when the process ends.
     auto answer_at_end(time_point now, session& caller) -> void;
@@ -580,6 +643,8 @@
     shared_configuration configuration_;
     std::map<session_id, session> sessions_;
     std::map<connection_id, connection> connections_;
+    /// When preparations that are not answered are given up.
+    std::set<std::pair<time_point, connection_id>> preparations_due_;
     std::map<group_id, commit_observations> observations_;
     group_interest interest_;
     /// When control was last asked for the position of a group.
--- a/src/coordination/server_pool.cpp
+++ b/src/coordination/server_pool.cpp
@@ -175,6 +175,24 @@
                                      : std::prev(found.base());
 }
 
+auto server_pool::find_best_idle(const server& each,
+                                 const connection_request& need) const
+    -> std::vector<connection_id>::const_iterator
+{
+    if (!need.is_prepared) {
+        return find_idle(each, need);
+    }
+    const auto found =
+        std::find_if(each.idle.rbegin(), each.idle.rend(), [&](const auto& id) {
+            const auto is_allowed =
+                need.organisation == nullptr ||
+                connections_.at(id).organisation == *need.organisation;
+            return is_allowed && need.is_prepared(id);
+        });
+    return found == each.idle.rend() ? find_idle(each, need)
+                                     : std::prev(found.base());
+}
+
 auto server_pool::find_replaceable(time_point now, const server& each,
                                    const connection_request& need) const
     -> std::vector<connection_id>::const_iterator
@@ -191,7 +209,7 @@
 auto server_pool::take_idle(time_point now, server& each,
                             const connection_request& need) -> connection_id
 {
-    const auto place = find_idle(each, need);
+    const auto place = find_best_idle(each, need);
     const auto id = *place;
     each.idle.erase(place);
     auto& used = connections_.at(id);
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -334,7 +334,7 @@
     }
     if (caller.open && caller.open->is_begun) {
         record_sent(now, caller);
-        send_current(now, caller, *caller.open->connection, std::nullopt);
+        send_in_transaction(now, caller);
         return true;
     }
     if (refuse_if_unserviceable(now, caller)) {
@@ -370,6 +370,11 @@
     need.group = caller.current->route.route->group;
     need.is_primary_needed = needs_primary(caller);
     need.organisation = &caller.organisation;
+    need.is_prepared = [this, &caller](connection_id id) {
+        const auto found = connections_.find(id);
+        return found != connections_.end() &&
+               is_prepared_for(caller, found->second);
+    };
     if (draining_since_) {
         return need;
     }
@@ -480,33 +485,55 @@
     current.connection = id;
     ++current.attempts;
     record_sent(now, caller);
+    current.floor = floor;
     const auto is_guarded =
         !caller.open && current.is_read &&
         current.route.route->consistency == read_consistency::primary;
-    if (!caller.open && !is_guarded) {
-        send_current(now, caller, id, floor);
-        return;
-    }
     auto out = std::vector<relay_statement>();
     add_preparation(now, caller, target, out);
-    auto start = relay_statement{};
-    start.step = relay_step::begin;
-    if (caller.open) {
-        caller.open->connection = id;
-        start.is_read_only = !needs_primary(caller);
-        start.floor = floor;
+    if (caller.open || is_guarded) {
+        auto start = relay_statement{};
+        start.step = relay_step::begin;
+        if (caller.open) {
+            caller.open->connection = id;
+            start.is_read_only = !needs_primary(caller);
+            start.floor = floor;
+        }
+        target.expected.push_back({is_guarded ? expectation_kind::primary_check
+                                              : expectation_kind::begin,
+                                   now});
+        out.push_back(std::move(start));
+    }
+    if (out.empty()) {
+        send_current(now, caller, id);
+    } else {
+        send_preparation(now, caller, id, out);
     }
-    target.expected.push_back(
-        {is_guarded ? expectation_kind::primary_check : expectation_kind::begin,
-         now});
-    out.push_back(std::move(start));
-    hooks_.send(id, out);
+}
+
+auto session_relay::is_prepared_for(const session& caller,
+                                    const connection& target) const -> bool
+{
+    if (target.is_state_unknown || target.values != caller.values) {
+        return false;
+    }
+    const auto& statement = caller.current->statement;
+    if (statement.step != relay_step::execute) {
+        return true;
+    }
+    const auto& prepared = caller.prepared.at(statement.name);
+    return target.prepared.contains(
+        shared_name(prepared.is_read, prepared.shape));
 }
 
 auto session_relay::add_preparation(time_point now, const session& caller,
                                     connection& target,
                                     std::vector<relay_statement>& out) -> void
 {
+    target.preparation_error = relay_error::none;
+    if (is_prepared_for(caller, target)) {
+        return;
+    }
     const auto add = [&](relay_step step, const std::string& name,
                          const std::string& text, bool is_read) {
         auto each = relay_statement{};
@@ -515,61 +542,97 @@
         each.text = text;
         each.is_read_only = is_read;
         out.push_back(std::move(each));
-        target.expected.push_back({expectation_kind::preparation, now});
+        target.expected.push_back(
+            {expectation_kind::preparation, now, step, name,
+             step == relay_step::set_value ? text : std::string()});
     };
     const auto has_foreign_value = std::any_of(
         target.values.begin(), target.values.end(),
         [&](const auto& each) { return !caller.values.contains(each.first); });
-    if (has_foreign_value) {
+    const auto is_discarded = has_foreign_value || target.is_state_unknown;
+    if (is_discarded) {
         add(relay_step::discard, {}, {}, false);
-        target.values.clear();
-        target.prepared.clear();
     }
     for (const auto& [name, value] : caller.values) {
         const auto found = target.values.find(name);
-        if (found == target.values.end() || found->second != value) {
+        if (is_discarded || found == target.values.end() ||
+            found->second != value) {
             add(relay_step::set_value, name, value, false);
-            target.values[name] = value;
         }
     }
     const auto& statement = caller.current->statement;
     if (statement.step == relay_step::execute) {
         const auto& prepared = caller.prepared.at(statement.name);
         const auto name = shared_name(prepared.is_read, prepared.shape);
-        if (target.prepared.insert(name).second) {
+        if (is_discarded || !target.prepared.contains(name)) {
             add(relay_step::prepare, name, prepared.shape, prepared.is_read);
         }
     }
+    ++counters_.preparations;
 }
 
-auto session_relay::send_current(time_point now, session& caller,
-                                 connection_id id,
-                                 const std::optional<log_position>& floor)
+auto session_relay::send_preparation(time_point now, const session& caller,
+                                     connection_id id,
+                                     const std::vector<relay_statement>& out)
     -> void
+{
+    // Half of the rest is left to another connection.
+    const auto rest = std::max(caller.current->expires - now, duration::zero());
+    auto& target = connections_.at(id);
+    target.preparation_due = now + rest / 2;
+    preparations_due_.emplace(*target.preparation_due, id);
+    hooks_.send(id, out);
+}
+
+auto session_relay::end_preparation(connection_id id, connection& target)
+    -> void
+{
+    if (target.preparation_due) {
+        preparations_due_.erase({*target.preparation_due, id});
+        target.preparation_due.reset();
+    }
+}
+
+auto session_relay::send_in_transaction(time_point now, session& caller) -> void
+{
+    const auto id = *caller.open->connection;
+    caller.current->connection = id;
+    auto out = std::vector<relay_statement>();
+    add_preparation(now, caller, connections_.at(id), out);
+    if (out.empty()) {
+        send_current(now, caller, id);
+    } else {
+        send_preparation(now, caller, id, out);
+    }
+}
+
+auto session_relay::send_current(time_point now, session& caller,
+                                 connection_id id) -> void
 {
     auto& current = *caller.current;
     auto& target = connections_.at(id);
-    current.connection = id;
     current.is_sent = true;
     auto out = std::vector<relay_statement>();
-    add_preparation(now, caller, target, out);
     auto statement = current.statement;
     if (statement.step == relay_step::execute) {
         const auto& prepared = caller.prepared.at(statement.name);
         statement.name = shared_name(prepared.is_read, prepared.shape);
     }
-    statement.floor = floor;
-    target.expected.push_back({expectation_kind::statement, now,
-                               statement.step == relay_step::commit});
-    out.push_back(std::move(statement));
+    target.expected.push_back(
+        {expectation_kind::statement, now, statement.step});
     if (caller.open) {
         caller.open->has_written |=
-            !current.is_read && current.statement.step != relay_step::commit;
+            !current.is_read && statement.step != relay_step::commit;
+        out.push_back(std::move(statement));
     } else if (target.status == transaction_status::in_transaction) {
+        out.push_back(std::move(statement));
         auto end = relay_statement{};
         end.step = relay_step::rollback;
         target.expected.push_back({expectation_kind::clean_up, now});
         out.push_back(std::move(end));
+    } else {
+        statement.floor = current.floor;
+        out.push_back(std::move(statement));
     }
     hooks_.send(id, out);
 }
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -93,25 +93,96 @@
         distrust(now, id);
         return;
     }
-    const auto asked = target.expected.front();
+    const auto asked = std::move(target.expected.front());
     target.expected.pop_front();
+    if (target.status != transaction_status::idle &&
+        reply.status == transaction_status::idle)
+    {
+        const auto is_committed =
+            reply.is_success() && asked.step == relay_step::commit;
+        target.is_state_unknown |=
+            target.is_changed_in_transaction && !is_committed;
+        target.is_changed_in_transaction = false;
+    }
     target.status = reply.status;
+    if (asked.kind == expectation_kind::preparation) {
+        on_preparation_reply(now, id, asked, reply);
+        return;
+    }
     if (asked.kind == expectation_kind::probe) {
         on_probe_reply(now, id, asked, reply);
         return;
     }
-    const auto caller =
-        target.session ? sessions_.find(*target.session) : sessions_.end();
-    if (caller == sessions_.end() || !caller->second.current ||
-        asked.kind == expectation_kind::clean_up)
-    {
+    auto* const caller = served_session(target);
+    if (caller == nullptr || asked.kind == expectation_kind::clean_up) {
         recycle_connection(now, id);
         return;
     }
     if (asked.kind == expectation_kind::statement) {
-        on_current_reply(now, caller->second, id, asked, std::move(reply));
+        on_current_reply(now, *caller, id, asked, std::move(reply));
+    } else {
+        on_primary_check_reply(now, *caller, id, asked, reply);
+    }
+}
+
+auto session_relay::served_session(const connection& target) -> session*
+{
+    const auto found =
+        target.session ? sessions_.find(*target.session) : sessions_.end();
+    return found == sessions_.end() || !found->second.current ? nullptr
+                                                              : &found->second;
+}
+
+auto session_relay::on_preparation_reply(time_point now, connection_id id,
+                                         const expectation& asked,
+                                         const relay_reply& reply) -> void
+{
+    auto& target = connections_.at(id);
+    if (!reply.is_success()) {
+        if (target.preparation_error == relay_error::none) {
+            target.preparation_error = reply.error;
+        }
+        target.is_state_unknown |= !is_not_run(reply.error);
+    } else if (asked.step == relay_step::discard) {
+        target.values.clear();
+        target.prepared.clear();
+        target.is_state_unknown = false;
+    } else if (asked.step == relay_step::set_value) {
+        target.values[asked.name] = asked.value;
     } else {
-        on_primary_check_reply(now, caller->second, id, asked, reply);
+        target.prepared.insert(asked.name);
+    }
+    target.is_changed_in_transaction |=
+        target.status != transaction_status::idle;
+    if (!target.expected.empty()) {
+        return;
+    }
+    end_preparation(id, target);
+    auto* const caller = served_session(target);
+    if (caller == nullptr) {
+        recycle_connection(now, id);
+    } else if (target.preparation_error != relay_error::none) {
+        on_preparation_failed(now, *caller, id, target.preparation_error);
+    } else {
+        send_current(now, *caller, id);
+    }
+}
+
+auto session_relay::on_preparation_failed(time_point now, session& caller,
+                                          connection_id id, relay_error error)
+    -> void
+{
+    ++counters_.failed_preparations;
+    if (!caller.open || !caller.open->is_begun) {
+        on_refusal(now, caller, id, error);
+        return;
+    }
+    if (!retry_in_transaction(now, caller, id, error)) {
+        detach(now, caller);
+        end_transaction(caller);
+        finish(now, caller,
+               error_reply(relay_error::aborted,
+                           "the server does not take the session's values"));
     }
 }
 
@@ -133,8 +204,9 @@
     case expectation_kind::probe:
         return reply.rows.empty() && is_in_transaction;
     case expectation_kind::statement:
-        return has_proof(reply) &&
-               (asked.is_commit ? is_idle : reply.status == target.status);
+        return has_proof(reply) && (asked.step == relay_step::commit
+                                        ? is_idle
+                                        : reply.status == target.status);
     case expectation_kind::clean_up:
         return reply.rows.empty() && is_idle;
     }
@@ -184,6 +256,8 @@
                                            const expectation& asked,
                                            const relay_reply& reply) -> void
 {
+    auto& target = connections_.at(id);
+    end_preparation(id, target);
     if (!reply.is_success()) {
         on_refusal(now, caller, id, reply.error);
         return;
@@ -192,11 +266,15 @@
     if (needs_primary(caller)) {
         pool_.on_primary(pool_.server_of(id));
     }
-    if (caller.open) {
-        caller.open->is_begun = true;
-    }
     const auto is_primary = needs_primary(caller);
-    send_current(now, caller, id, std::nullopt);
+    if (target.preparation_error != relay_error::none) {
+        on_preparation_failed(now, caller, id, target.preparation_error);
+    } else {
+        if (caller.open) {
+            caller.open->is_begun = true;
+        }
+        send_current(now, caller, id);
+    }
     if (is_primary) {
         record_observation(now, group, asked.sent, reply.position);
     }
@@ -236,7 +314,8 @@
         pool_.on_full(now, server);
         break;
     case relay_error::unknown_name:
-        connections_.at(id).prepared.clear();
+        // The server does not hold what it acknowledged.
+        connections_.at(id).is_state_unknown = true;
         break;
     default:
         break;
@@ -366,6 +445,26 @@
     finish(now, caller, std::move(reply));
 }
 
+auto session_relay::retry_in_transaction(time_point now, session& caller,
+                                         connection_id id, relay_error error)
+    -> bool
+{
+    auto& current = *caller.current;
+    const auto is_still_open =
+        connections_.at(id).status == transaction_status::in_transaction;
+    if (error != relay_error::retry || !is_still_open ||
+        current.attempts >= max_attempts)
+    {
+        return false;
+    }
+    ++current.attempts;
+    current.is_sent = false;
+    current.not_before = now + refusal_backoff(current.attempts);
+    pool_.on_full(now, pool_.server_of(id));
+    wait(caller);
+    return true;
+}
+
 auto session_relay::on_transaction_reply(time_point now, session& caller,
                                          connection_id id,
                                          const expectation& asked,
@@ -374,16 +473,7 @@
     auto& opened = *caller.open;
     auto& current = *caller.current;
     const auto is_commit = current.statement.step == relay_step::commit;
-    const auto is_still_open =
-        reply.status == transaction_status::in_transaction;
-    if (!reply.is_success() && reply.error == relay_error::retry &&
-        is_still_open && current.attempts < max_attempts)
-    {
-        ++current.attempts;
-        current.is_sent = false;
-        current.not_before = now + refusal_backoff(current.attempts);
-        pool_.on_full(now, pool_.server_of(id));
-        wait(caller);
+    if (retry_in_transaction(now, caller, id, reply.error)) {
         return;
     }
     const auto group = current.route.route->group;
@@ -444,7 +534,9 @@
     if (!id) {
         return;
     }
-    connections_.at(*id).session.reset();
+    auto& target = connections_.at(*id);
+    target.session.reset();
+    end_preparation(*id, target);
     recycle_connection(now, *id);
 }
 
@@ -478,6 +570,7 @@
     -> void
 {
     const auto found = connections_.find(id);
+    end_preparation(id, found->second);
     const auto session_of = found->second.session;
     const auto group = pool_.group_of(id);
     const auto server = pool_.server_of(id);
--- a/src/coordination/session_relay_timers.cpp
+++ b/src/coordination/session_relay_timers.cpp
@@ -33,6 +33,7 @@
             expire(now, caller->second);
         }
     }
+    tick_preparations(now);
     if (now >= next_sweep_) {
         next_sweep_ = now + sweep_interval;
         tick_sessions(now);
@@ -66,6 +67,9 @@
     if (!expiries_.empty()) {
         due = std::min(due, expiries_.begin()->first);
     }
+    if (!preparations_due_.empty()) {
+        due = std::min(due, preparations_due_.begin()->first);
+    }
     return answered_in_drain_.empty() ? due : std::min(due, now);
 }
 
@@ -102,6 +106,24 @@
     }
 }
 
+auto session_relay::tick_preparations(time_point now) -> void
+{
+    while (!preparations_due_.empty() &&
+           preparations_due_.begin()->first <= now) {
+        const auto id = preparations_due_.begin()->second;
+        preparations_due_.erase(preparations_due_.begin());
+        const auto& target = connections_.at(id);
+        ++counters_.overdue_preparations;
+        if (const auto* const caller = served_session(target)) {
+            log(now, "preparation_overdue", *caller, pool_.server_of(id),
+                relay_error::timeout);
+        }
+        pool_.on_timeout(now, id, target.expected.front().sent);
+        hooks_.close(id);
+        lose(now, id, false);
+    }
+}
+
 auto session_relay::drain(time_point now, duration grace) -> void
 {
     if (!draining_since_) {
