coordination: what a connection to a server holds is bounded and charged

Cause: a connection kept the name of every statement that was prepared on it, and the name contained the whole shape. Names were given up only by DISCARD, and no budget knew of them.

The name is made once, when the session prepares it. A close is a preparation like others and is acknowledged before the statement that follows.

The new test covers names, their number and the bytes that are counted.

--- a/include/rhubarbrun/coordination/session_relay.hpp
+++ b/include/rhubarbrun/coordination/session_relay.hpp
@@ -256,6 +256,8 @@
     auto set_state_limit(std::size_t bytes) -> void { state_limit_ = bytes; }
     /// What the session makes the relay hold; nothing if there is none.
     [[nodiscard]] auto load_of(session_id id) const -> session_load;
+    /// Bytes of the values and names that a connection to a server holds.
+    [[nodiscard]] auto state_bytes_of(connection_id id) const -> std::size_t;
 
     /// Tokens of organisations have come.
     auto on_tokens(time_point now) -> void;
@@ -309,6 +311,8 @@
     {
         bool is_read = false;
         std::string shape;
+        /// Its name at servers.
+        std::string server_name;
     };
     struct transaction
     {
@@ -409,6 +413,8 @@
         /// What the server has acknowledged.
         std::map<std::string, std::string> values;
         std::set<std::string> prepared;
+        /// Of `values` and `prepared`.
+        std::size_t state_bytes = 0;
         transaction_status status = transaction_status::idle;
         /// A preparation may have had an effect that is not in `values` and
         /// `prepared`; only a discard makes the connection usable again.
@@ -559,6 +565,9 @@
     auto on_preparation_reply(time_point now, connection_id id,
                               const expectation& asked,
                               const relay_reply& reply) -> void;
+    /// Notes what a connection holds after a preparation.
+    static auto note_preparation(const expectation& asked, connection& target)
+        -> void;
     /// Handles a statement that was not sent as a preparation failed.
     auto on_preparation_failed(time_point now, session& caller,
                                connection_id id, relay_error error) -> void;
--- a/include/rhubarbrun/state/key_digest.hpp
+++ b/include/rhubarbrun/state/key_digest.hpp
@@ -1,8 +1,9 @@
 #ifndef RHUBARBRUN_STATE_KEY_DIGEST_HPP
 #define RHUBARBRUN_STATE_KEY_DIGEST_HPP
 
+#include <rhubarbrun/state/sha256.hpp>
+
 #include <algorithm>
-#include <array>
 #include <string_view>
 
 namespace rhubarbrun::inline v1 {
@@ -12,7 +13,7 @@
 /// it.
 struct key_digest
 {
-    std::array<unsigned char, 32> bytes{};
+    sha256_digest bytes{};
 
     friend auto operator==(const key_digest& left, const key_digest& right)
         -> bool = default;
--- a/src/coordination/session_relay.cpp
+++ b/src/coordination/session_relay.cpp
@@ -1,5 +1,8 @@
 #include <rhubarbrun/coordination/session_relay.hpp>
 
+#include <rhubarbrun/state/sha256.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbrun::inline v1 {
@@ -12,6 +15,38 @@
 /// Memory of a statement, value or name besides its texts, about.
 constexpr auto entry_bytes = std::size_t{200};
 
+/// A longer shape is named by its digest.
+constexpr auto max_spelled_shape = std::size_t{32};
+
+auto in_hexadecimal(std::string_view bytes) -> std::string
+{
+    constexpr auto digits = std::string_view("0123456789abcdef");
+    auto text = std::string();
+    for (const auto each : bytes) {
+        const auto byte = static_cast<unsigned char>(each);
+        text += digits[byte >> 4U];
+        text += digits[byte & 0xfU];
+    }
+    return text;
+}
+
+/// Name of a prepared statement at a server; all sessions share the statements
+/// of the same shape. A shape that is no word is spelled out in hexadecimal.
+auto shared_name(bool is_read, const std::string& shape) -> std::string
+{
+    const auto mode = std::string(is_read ? "r" : "w");
+    if (shape.size() > max_spelled_shape) {
+        const auto digest = sha256(shape);
+        return mode + "d_" +
+               in_hexadecimal({reinterpret_cast<const char*>(digest.data()),
+                               digest.size()});
+    }
+    const auto is_word = std::all_of(shape.begin(), shape.end(), [](char each) {
+        return static_cast<unsigned char>(each) > ' ';
+    });
+    return is_word ? mode + '_' + shape : mode + "x_" + in_hexadecimal(shape);
+}
+
 auto size_of(const relay_statement& statement) -> std::size_t
 {
     return statement.id.size() + statement.name.size() + statement.text.size() +
@@ -248,8 +283,10 @@
     if (is_value) {
         caller.values[statement.name] = std::move(statement.text);
     } else {
+        auto server_name = shared_name(statement.is_read_only, statement.text);
         caller.prepared[statement.name] = {statement.is_read_only,
-                                           std::move(statement.text)};
+                                           std::move(statement.text),
+                                           std::move(server_name)};
     }
     answer_locally(now, caller);
 }
@@ -274,6 +311,12 @@
     return load;
 }
 
+auto session_relay::state_bytes_of(connection_id id) const -> std::size_t
+{
+    const auto found = connections_.find(id);
+    return found == connections_.end() ? 0 : found->second.state_bytes;
+}
+
 auto session_relay::begin(time_point now, session& caller,
                           const relay_statement& statement) -> void
 {
--- a/src/coordination/session_relay_dispatch.cpp
+++ b/src/coordination/session_relay_dispatch.cpp
@@ -44,26 +44,8 @@
 /// objective or of its time, whichever is shorter.
 constexpr auto paced_percentage = 75;
 
-/// Name of a prepared statement at a server; all sessions share the statements
-/// of the same shape. A shape that is no word is spelled out in hexadecimal.
-auto shared_name(bool is_read, const std::string& shape) -> std::string
-{
-    constexpr auto digits = std::string_view("0123456789abcdef");
-    const auto is_word = std::all_of(shape.begin(), shape.end(), [](char each) {
-        return static_cast<unsigned char>(each) > ' ';
-    });
-    auto name = std::string(is_read ? "r" : "w");
-    if (is_word) {
-        return name + '_' + shape;
-    }
-    name += "x_";
-    for (const auto letter : shape) {
-        const auto byte = static_cast<unsigned char>(letter);
-        name += digits[byte >> 4U];
-        name += digits[byte & 0xfU];
-    }
-    return name;
-}
+/// Names that a connection to a server may hold.
+constexpr auto max_prepared_names = std::size_t{256};
 
 } // namespace
 
@@ -521,9 +503,8 @@
     if (statement.step != relay_step::execute) {
         return true;
     }
-    const auto& prepared = caller.prepared.at(statement.name);
     return target.prepared.contains(
-        shared_name(prepared.is_read, prepared.shape));
+        caller.prepared.at(statement.name).server_name);
 }
 
 auto session_relay::add_preparation(time_point now, const session& caller,
@@ -563,9 +544,15 @@
     const auto& statement = caller.current->statement;
     if (statement.step == relay_step::execute) {
         const auto& prepared = caller.prepared.at(statement.name);
-        const auto name = shared_name(prepared.is_read, prepared.shape);
-        if (is_discarded || !target.prepared.contains(name)) {
-            add(relay_step::prepare, name, prepared.shape, prepared.is_read);
+        const auto is_held =
+            !is_discarded && target.prepared.contains(prepared.server_name);
+        if (!is_held && !is_discarded &&
+            target.prepared.size() >= max_prepared_names) {
+            add(relay_step::deallocate, *target.prepared.begin(), {}, false);
+        }
+        if (!is_held) {
+            add(relay_step::prepare, prepared.server_name, prepared.shape,
+                prepared.is_read);
         }
     }
     ++counters_.preparations;
@@ -615,8 +602,7 @@
     auto out = std::vector<relay_statement>();
     auto statement = current.statement;
     if (statement.step == relay_step::execute) {
-        const auto& prepared = caller.prepared.at(statement.name);
-        statement.name = shared_name(prepared.is_read, prepared.shape);
+        statement.name = caller.prepared.at(statement.name).server_name;
     }
     target.expected.push_back(
         {expectation_kind::statement, now, statement.step});
--- a/src/coordination/session_relay_replies.cpp
+++ b/src/coordination/session_relay_replies.cpp
@@ -133,6 +133,39 @@
                                                               : &found->second;
 }
 
+auto session_relay::note_preparation(const expectation& asked,
+                                     connection& target) -> void
+{
+    // A list node and two strings.
+    constexpr auto entry_bytes = std::size_t{100};
+    const auto bytes = asked.name.size() + asked.value.size() + entry_bytes;
+    switch (asked.step) {
+    case relay_step::discard:
+        target.values.clear();
+        target.prepared.clear();
+        target.state_bytes = 0;
+        target.is_state_unknown = false;
+        break;
+    case relay_step::set_value: {
+        const auto found = target.values.find(asked.name);
+        if (found != target.values.end()) {
+            target.state_bytes -=
+                asked.name.size() + found->second.size() + entry_bytes;
+        }
+        target.values[asked.name] = asked.value;
+        target.state_bytes += bytes;
+        break;
+    }
+    case relay_step::prepare:
+        target.state_bytes +=
+            target.prepared.insert(asked.name).second ? bytes : 0;
+        break;
+    default:
+        target.state_bytes -= target.prepared.erase(asked.name) > 0 ? bytes : 0;
+        break;
+    }
+}
+
 auto session_relay::on_preparation_reply(time_point now, connection_id id,
                                          const expectation& asked,
                                          const relay_reply& reply) -> void
@@ -143,14 +176,8 @@
             target.preparation_error = reply.error;
         }
         target.is_state_unknown |= !is_not_run(reply.error);
-    } else if (asked.step == relay_step::discard) {
-        target.values.clear();
-        target.prepared.clear();
-        target.is_state_unknown = false;
-    } else if (asked.step == relay_step::set_value) {
-        target.values[asked.name] = asked.value;
     } else {
-        target.prepared.insert(asked.name);
+        note_preparation(asked, target);
     }
     target.is_changed_in_transaction |=
         target.status != transaction_status::idle;
--- a/tests/coordination/session_relay_test.cpp
+++ b/tests/coordination/session_relay_test.cpp
@@ -578,6 +578,50 @@
     }
 }
 
+// A connection kept the names of all statements that were ever prepared on it,
+// each as long as its shape, and no budget knew of them.
+TEST_CASE("session relay: what a connection holds is bounded and counted")
+{
+    constexpr auto names = std::size_t{256};
+    constexpr auto most_bytes = names * 200;
+    auto harness = relay_harness();
+    const auto caller = harness.start("orders");
+    const auto run_shape = [&](std::size_t number) {
+        const auto shape = std::to_string(number) + std::string(1000, 'x');
+        harness.ask(caller, relay_step::prepare, shape, "s");
+        harness.ask(caller, relay_step::execute, "item data", "s");
+    };
+    auto held = std::set<std::string>();
+    auto is_in_transaction = false;
+    SUBCASE("outside of transactions") {}
+    SUBCASE("in a transaction")
+    {
+        is_in_transaction = true;
+        harness.ask(caller, relay_step::begin);
+    }
+    for (auto number = std::size_t{0}; number < 2 * names + 10; ++number) {
+        run_shape(number);
+        REQUIRE(!harness.sent.empty());
+        const auto connection = harness.sent.front().connection;
+        while (!harness.sent.empty()) {
+            const auto statement = harness.answer();
+            CHECK(statement.name.size() <= 70);
+            if (statement.step == relay_step::prepare) {
+                held.insert(statement.name);
+            } else if (statement.step == relay_step::deallocate) {
+                CHECK(held.erase(statement.name) == 1);
+            }
+        }
+        REQUIRE(harness.last_reply(caller).is_success());
+        CHECK(harness.relay.state_bytes_of(connection) >= held.size());
+        CHECK(harness.relay.state_bytes_of(connection) <= most_bytes);
+    }
+    CHECK(held.size() == names);
+    CHECK(harness.opened == 1);
+    CHECK(is_in_transaction == (harness.last_reply(caller).status ==
+                                transaction_status::in_transaction));
+}
+
 // Requests that waited for a connection got no answer when their process ended.
 TEST_CASE("session relay: a process that ends answers what waits")
 {
