--- a/tests/platform/proxy_adapter_test.cpp
+++ b/tests/platform/proxy_adapter_test.cpp
@@ -31,7 +31,7 @@
 class small_deployment
 {
 public:
-    small_deployment()
+    explicit small_deployment(bool does_proxy_start = true)
         : ports_(free_ports()),
           directory_(std::filesystem::temp_directory_path() /
                      ("rhubarbrun_proxy_" + std::to_string(ports_.at(0)))),
@@ -41,7 +41,9 @@
           proxy_(context_, settings("127.0.0.2"), seeds)
     {
         control_->start();
-        proxy_.start();
+        if (does_proxy_start) {
+            proxy_.start();
+        }
     }
     small_deployment(const small_deployment&) = delete;
     auto operator=(const small_deployment&) -> small_deployment& = delete;
@@ -100,6 +102,38 @@
         return answer;
     }
 
+    /// Starts the proxy and sends it the pieces at once, before it can have a
+    /// configuration. Returns the lines that come, `count` at most.
+    auto send_ahead(const std::vector<std::string>& pieces, std::size_t count)
+        -> std::vector<std::string>
+    {
+        proxy_.start();
+        auto socket = asio::ip::tcp::socket(context_);
+        socket.connect({asio::ip::make_address("127.0.0.2"), ports_.at(2)});
+        auto bytes = std::string();
+        auto lines = std::vector<std::string>();
+        const auto end = steady_now() + std::chrono::seconds(10);
+        for (const auto& piece : pieces) {
+            asio::write(socket, asio::buffer(piece));
+            context_.run_for(std::chrono::microseconds(200));
+        }
+        socket.non_blocking(true);
+        while (lines.size() < count && steady_now() < end) {
+            context_.run_for(std::chrono::milliseconds(5));
+            auto error = error_code();
+            auto part = std::array<char, 4096>();
+            const auto size = socket.read_some(asio::buffer(part), error);
+            bytes.append(part.data(), size);
+            for (auto at = bytes.find("\r\n"); at != std::string::npos;
+                 at = bytes.find("\r\n"))
+            {
+                lines.push_back(bytes.substr(0, at));
+                bytes.erase(0, at + 2);
+            }
+        }
+        return lines;
+    }
+
     /// The answer to a session that starts shortly before the proxy would end
     /// without sessions; empty if it ended without one.
     auto start_session_at_end(const std::string& database) -> std::string
@@ -226,6 +260,31 @@
     CHECK(deployment.start_session("none").starts_with("ERROR RETRY"));
 }
 
+// What a caller had sent ahead to a proxy without a configuration was dropped,
+// so that the writes of a transaction ran without its BEGIN.
+TEST_CASE("proxy adapter: messages that are sent ahead wait for the session, "
+          "in order")
+{
+    auto deployment = small_deployment(false);
+    REQUIRE(deployment.configure());
+    const auto start = std::string("STARTUP db1 x\r\n");
+    const auto begin = std::string("QUERY a BEGIN\r\n");
+    const auto rest = std::string("QUERY b SET n v\r\nQUERY c ROLLBACK\r\n");
+    const auto expected = std::vector<std::string>{
+        "READY I -", "COMPLETE -", "READY T -", "COMPLETE -",
+        "READY T -", "COMPLETE -", "READY I -"};
+    SUBCASE("in one piece")
+    {
+        CHECK(deployment.send_ahead({start + begin + rest}, expected.size()) ==
+              expected);
+    }
+    SUBCASE("in several pieces")
+    {
+        CHECK(deployment.send_ahead({start, begin, rest}, expected.size()) ==
+              expected);
+    }
+}
+
 // One malformed message must not take the process down, at any port.
 // A session that waited for a configuration got no answer when its proxy ended.
 TEST_CASE("proxy adapter: a session that waits is answered before the end")
