platform: a ping that lacks fields names no server

Cause: fields that the control member does not use were not looked at, so that the ping counted as one of the deployment's servers and as the latest claim to be primary.

The sample of the tests lacked `version`, which every ping of the platform's page has; it got one, and the list of fields without which a ping names no server has both.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,6 +1,8 @@
 #include "documents.hpp"
 #include "node_settings.hpp"
 
+#include <rhubarbrun/transport/json.hpp>
+
 #include <doctest/doctest.h>
 
 #include <random>
@@ -21,8 +23,8 @@
     R"("limits":{"txIdleMs":3000}})");
 
 const auto announcement_text = std::string(
-    R"({"service":"g1","address":"10.128.0.9:8080","zone":"a","capacity":3,)"
-    R"("state":"ready","coldLeftMs":0,"dbRole":"replica","seqNo":4,)"
+    R"({"service":"g1","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
+    R"("capacity":3,"state":"ready","coldLeftMs":0,"dbRole":"replica","seqNo":4,)"
     R"("born":1700000000000})");
 
 auto replaced(std::string text, const std::string& from, const std::string& to)
@@ -173,7 +175,8 @@
     CHECK(record->slots == 3);
     CHECK(record->started_at == 1'700'000'000'000U);
     for (const auto* const field :
-         {"service", "address", "zone", "capacity", "state", "dbRole", "seqNo"})
+         {"service", "address", "zone", "version", "capacity", "state",
+          "coldLeftMs", "dbRole", "seqNo"})
     {
         const auto broken =
             replaced(announcement_text, "\"" + std::string(field) + "\"",
@@ -185,6 +188,34 @@
         "i-1", replaced(announcement_text, "\"ready\"", "\"asleep\"")));
 }
 
+// A ping of another writer, whose other fields named a server of its own, made
+// that server the primary.
+TEST_CASE("documents: a ping with a field of another type names no server")
+{
+    const auto text = parse_json(announcement_text);
+    REQUIRE(text);
+    for (const auto& [name, value] : text->members()) {
+        for (const auto* const other :
+             {"null", "true", "-1", "1.5", "\"none\"", "[]", "{}", "7"})
+        {
+            const auto of_same_type =
+                value.is_number() ? std::string_view(other) == "7"
+                                  : std::string_view(other) == "\"none\"";
+            const auto is_missing_start =
+                name == "born" && std::string_view(other) == "null";
+            if (of_same_type || is_missing_start) {
+                continue;
+            }
+            const auto whole = "\"" + name + "\":" + value.print();
+            const auto odd =
+                replaced(announcement_text, whole, "\"" + name + "\":" + other);
+            INFO(odd);
+            REQUIRE(odd != announcement_text);
+            CHECK(!parse_announcement("i-1", odd, 1'800'000'000'000));
+        }
+    }
+}
+
 // An odd entry was taken for a server: with a port out of range it could claim
 // to be primary, and with a number too large it outlived every later one.
 TEST_CASE("documents: an odd entry names no server")
