coordination: a server that another one replaced at its address stays gone

Cause: a server ended only those at its address that were known before it. One that became known later, although it had started earlier, stayed in the directory and was the latest claim to be primary. The same way a ping without a start time named a server, as it is compared with nobody.

Change: a record is marked as gone when it arrives if a server that started later was heard of at its address within 5 s, as if it had arrived in order; and if it has no start time while other servers of its group have one, in either order of arrival. A silent holder of an address ends nobody, so that a clock that was wrong at a start keeps no server out.

--- a/include/rhubarbrun/coordination/server_directory.hpp
+++ b/include/rhubarbrun/coordination/server_directory.hpp
@@ -41,8 +41,10 @@
     };
 
     /// Merges one announcement. A server that started later at the same address
-    /// marks the records of earlier servers there as gone. One of a group that
-    /// is not known neither does that nor takes a record over.
+    /// marks the records of earlier servers there as gone, also those that
+    /// arrive after its own. A record without a start time is gone as well
+    /// where another server of its group has one. One of a group that is not
+    /// known neither does that nor takes a record over.
     auto merge(time_point now, const server_record& record,
                bool is_group_known = true) -> merge_result;
 
@@ -86,6 +88,12 @@
 private:
     auto end_others_at_address(time_point now, const server_record& record)
         -> void;
+    auto end_others_without_start(time_point now, const server_record& record)
+        -> void;
+    /// Whether a later server holds the address, or the record is of another
+    /// writer, which does not state the start.
+    [[nodiscard]] auto is_superseded(time_point now,
+                                     const server_record& record) const -> bool;
     /// Counts a change of the entry, whose index must be up to date.
     auto mark_changed(entry& known) -> void;
 
--- a/src/coordination/server_directory.cpp
+++ b/src/coordination/server_directory.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbrun/coordination/server_directory.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace rhubarbrun::inline v1 {
@@ -8,6 +9,9 @@
 
 /// Sequence number above every announcement of the same server process.
 constexpr auto final_sequence = std::numeric_limits<std::uint64_t>::max();
+/// A server that was heard of this recently still has its address: servers
+/// announce themselves every second or so.
+constexpr auto address_hold_time = std::chrono::seconds(5);
 
 } // namespace
 
@@ -46,6 +50,10 @@
     mark_changed(known);
     if (record.state != server_availability::gone && is_group_known) {
         end_others_at_address(now, record);
+        end_others_without_start(now, record);
+        if (is_superseded(now, record)) {
+            remove(now, record.id);
+        }
     }
     return merge_result::changed;
 }
@@ -71,6 +79,40 @@
     }
 }
 
+auto server_directory::end_others_without_start(time_point now,
+                                                const server_record& record)
+    -> void
+{
+    if (record.started_at == 0) {
+        return;
+    }
+    for (const auto& id : by_group_[record.group]) {
+        if (entries_.at(id).record.started_at == 0) {
+            remove(now, id);
+        }
+    }
+}
+
+auto server_directory::is_superseded(time_point now,
+                                     const server_record& record) const -> bool
+{
+    const auto& at_address = by_address_.at(record.address);
+    const auto has_successor =
+        std::any_of(at_address.begin(), at_address.end(), [&](const auto& id) {
+            const auto& other = entries_.at(id);
+            return other.record.started_at > record.started_at &&
+                   other.record.state != server_availability::gone &&
+                   now - other.heard_at < address_hold_time;
+        });
+    if (has_successor || record.started_at != 0) {
+        return has_successor;
+    }
+    const auto& group = by_group_.at(record.group);
+    return std::any_of(group.begin(), group.end(), [&](const auto& id) {
+        return entries_.at(id).record.started_at != 0;
+    });
+}
+
 auto server_directory::remove(time_point now, const target_id& id)
     -> const server_record*
 {
--- a/tests/coordination/server_directory_test.cpp
+++ b/tests/coordination/server_directory_test.cpp
@@ -78,6 +78,52 @@
           server_availability::gone);
 }
 
+// A first ping that was delayed until a new server had registered at the same
+// address was taken for the latest claim to be primary.
+TEST_CASE("server directory: a delayed announcement of an earlier server at an "
+          "address names no server")
+{
+    auto directory = server_directory();
+    auto former = record("a", 10, 1);
+    former.role = server_role::primary;
+    auto holder = record("b", 20, 1);
+    holder.role = server_role::primary;
+    holder.address = former.address;
+    directory.merge(now, holder);
+    const auto arrival = now + milliseconds(4000);
+    holder.sequence = 2;
+    directory.merge(arrival, holder);
+    directory.merge(arrival, former);
+    CHECK(directory.find(target_id("a"))->record.state ==
+          server_availability::gone);
+    REQUIRE(directory.claimed_primary(group_id("g")) != nullptr);
+    CHECK(directory.claimed_primary(group_id("g"))->record.id ==
+          target_id("b"));
+    INFO("a holder that is silent may have left the address");
+    former.id = target_id("c");
+    directory.merge(arrival + milliseconds(6000), former);
+    CHECK(directory.find(target_id("c"))->record.state ==
+          server_availability::ready);
+}
+
+// A ping of another writer that lacks its start named a server.
+TEST_CASE("server directory: a server without a start is gone where others of "
+          "its group have one")
+{
+    auto directory = server_directory();
+    directory.merge(now, record("early", 0, 5));
+    CHECK(directory.find(target_id("early"))->record.state ==
+          server_availability::ready);
+    directory.merge(now, record("a", 10, 5));
+    directory.merge(now, record("late", 0, 5));
+    for (const auto* const name : {"early", "late"}) {
+        CHECK(directory.find(target_id(name))->record.state ==
+              server_availability::gone);
+    }
+    CHECK(directory.find(target_id("a"))->record.state ==
+          server_availability::ready);
+}
+
 // An entry of an unknown service with the address of a server ended it.
 TEST_CASE("server directory: a server of an unknown group ends no other")
 {
