platform: the time to end may be a fraction of seconds

Cause: a fraction such as 4.5 was not a whole number and was ignored without a word, so that a process planned with 6 s, and would have been killed with requests at servers.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -265,6 +265,25 @@
     }
 }
 
+// A fraction was ignored, so that the process planned with the usual time and
+// was killed before it had answered everything.
+TEST_CASE("node settings: the time to end may be a fraction of seconds")
+{
+    const auto grace = [](const std::string& value) {
+        return parse_node_settings("nodeName = \"e\"\nip = \"10.1.0.8\"\n"
+                                   "zone = \"a\"\ninternalPorts = [7440]\n"
+                                   "seeds = [\"10.1.0.11:8782\"]\n"
+                                   "[bounds]\ngraceS = " +
+                                   value)
+            .shutdown_grace;
+    };
+    CHECK(grace("4.5") == milliseconds(4500));
+    CHECK(grace("4") == milliseconds(4000));
+    CHECK_THROWS_AS(grace("-0.5"), node_settings_error);
+    CHECK_THROWS_AS(grace("nan"), node_settings_error);
+    CHECK_THROWS_AS(grace("\"4\""), node_settings_error);
+}
+
 TEST_CASE("node settings: known fields are read and others ignored")
 {
     const auto settings = parse_node_settings(R"(
