--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -11,7 +11,7 @@
 
 ABSL_FLAG(std::string, name, "all",
           "experiment: all, replica_reads, crest, head_of_line, "
-          "slot_sharing, load_classes or write_gap");
+          "slot_sharing, load_classes, session_values or write_gap");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of all random numbers");
 ABSL_FLAG(std::string, report, "",
           "directory for measures.md, measures.json, goodput.svg and "
@@ -33,6 +33,7 @@
     experiment{"head_of_line", measure_head_of_line},
     experiment{"slot_sharing", measure_slot_sharing},
     experiment{"load_classes", measure_load_classes},
+    experiment{"session_values", measure_session_values},
     experiment{"write_gap", measure_write_gap},
 };
 
--- a/bench/experiment.hpp
+++ b/bench/experiment.hpp
@@ -34,6 +34,11 @@
 auto measure_load_classes(const deployment& place, std::uint64_t seed,
                           report& results) -> void;
 
+/// Service time, new connections and refusals of sessions with and without
+/// values.
+auto measure_session_values(const deployment& place, std::uint64_t seed,
+                            report& results) -> void;
+
 /// Time without acknowledged writes after failures of the primary, its owner
 /// and the control leader.
 auto measure_write_gap(const deployment& place, std::uint64_t seed,
