tests: the stand-in of untrusted clients proves what it runs

Cause: it answered reads, writes and commits with `COMPLETE -`.

Change: reads, writes, executions and commits get a proof, everything else `-` as before. No check or bound is touched.

--- a/tests/clients/stand_in_server.cpp
+++ b/tests/clients/stand_in_server.cpp
@@ -8,6 +8,25 @@
 
 namespace {
 
+/// Whether the query runs at the server, which proves it; all others are
+/// answered with `-`.
+auto is_proven(std::string_view line) -> bool
+{
+    const auto skip_words = [&](int count) {
+        for (; count > 0 && !line.empty(); --count) {
+            const auto end = line.find(' ');
+            line.remove_prefix(end == std::string_view::npos ? line.size()
+                                                             : end + 1);
+        }
+    };
+    skip_words(2);
+    if (line.starts_with("WAITLSN")) {
+        skip_words(2);
+    }
+    return line.starts_with("READ") || line.starts_with("WRITE") ||
+           line.starts_with("EXECUTE") || line.starts_with("COMMIT");
+}
+
 /// The answer to a query; empty if there is none. `state` is that of the
 /// connection's transaction.
 auto answer_to(std::string_view line, char& state) -> std::string
@@ -29,7 +48,8 @@
     } else if (contains(" COMMIT") || contains(" ROLLBACK")) {
         state = 'I';
     }
-    return rows + "COMPLETE -\r\nREADY " + state + " 1.5\r\n";
+    return rows + (is_proven(line) ? "COMPLETE 7.1" : "COMPLETE -") +
+           "\r\nREADY " + state + " 1.5\r\n";
 }
 
 } // namespace
